--- a/core/idempotency/ledger.ts
+++ b/core/idempotency/ledger.ts
@@ -152,8 +152,9 @@
     if (!isKeySigned(key, this.#options.secret)) {
       return notRun('bad-request', "the key is forged; get one from the service's keys address");
     }
-    if (parts.expiresAt <= now)
+    if (parts.expiresAt <= now) {
       return unknown('key-expired', 'the key has expired; check its effect');
+    }
     return undefined;
   }
 
