Test both ends of a link and the virtual clock without sockets

The pair covers the handshake, resume after silence, fencing of a late call, restart of the sidecar, loss for good, repeated frames and gaps.

--- /dev/null
+++ b/core/link/_linkPair.ts
@@ -0,0 +1,115 @@
+import type { Milliseconds } from '../clock/mod.ts';
+import { EntryLink } from './entryLink.ts';
+import type { EntryLinkAction, Epoch } from './entryLink.ts';
+import type { EntryFrame, Envelope, SidecarFrame } from './frames.ts';
+import { SidecarLinks } from './sidecarLink.ts';
+import type { SidecarLinksAction } from './sidecarLink.ts';
+
+const KEY = 'link-pair-key-0123456789-abcdefghij';
+
+const REPORT = {
+  running: 0,
+  waiting: 0,
+  batchWidth: 1,
+  resident: [],
+  leaving: false,
+  backendServer: 'b1',
+};
+
+/** How to build a `LinkPair`. */
+export type LinkPairOptions = {
+  /** The sidecar's incarnation. @default 's-1' */
+  readonly sidecarIncarnation?: string;
+  /** The key that the entry holds. */
+  readonly entryKey?: string;
+  /** The host that the entry means to reach. @default 'h1' */
+  readonly target?: string;
+};
+
+/** Both ends of one link in memory, whose connections a test opens, loses and closes. */
+export class LinkPair {
+  readonly entry: EntryLink;
+
+  sidecar: SidecarLinks;
+
+  /** What both ends asked their owners to do, but for frames that were carried. */
+  readonly entryActions: EntryLinkAction[] = [];
+
+  readonly sidecarActions: SidecarLinksAction[] = [];
+
+  /** Connections on which frames are lost. */
+  readonly lost = new Set<Epoch>();
+
+  now: Milliseconds = 0;
+
+  #nonces = 0;
+
+  constructor(options: LinkPairOptions = {}) {
+    this.entry = new EntryLink({
+      identity: { role: 'entry', host: 'e1', incarnation: 'e-1' },
+      target: options.target ?? 'h1',
+      keys: [options.entryKey ?? KEY],
+      nonce: () => this.#nonce(),
+    });
+    this.sidecar = this.createSidecar(options.sidecarIncarnation ?? 's-1');
+  }
+
+  /** Creates the sidecar's end for an incarnation. */
+  createSidecar(incarnation: string): SidecarLinks {
+    return new SidecarLinks({
+      identity: { role: 'sidecar', host: 'h1', incarnation },
+      keys: [KEY],
+      nonce: () => this.#nonce(),
+      status: () => ({ set: { generation: 0, digest: '' }, report: REPORT }),
+    });
+  }
+
+  /** Lets time pass in steps of 50 ms. */
+  advance(time: Milliseconds): void {
+    const end = this.now + time;
+    while (this.now < end) {
+      this.now += 50;
+      this.perform(this.entry.tick(this.now));
+      this.performSidecar(this.sidecar.tick(this.now));
+    }
+  }
+
+  /** Performs the entry's actions. */
+  perform(actions: readonly EntryLinkAction[]): void {
+    for (const action of actions) {
+      this.entryActions.push(action);
+      if (action.kind === 'dial') this.#open(action.epoch);
+      if (action.kind === 'send') this.#toSidecar(action.epoch, action.envelope);
+      if (action.kind === 'close') this.sidecar.closed(action.epoch);
+    }
+  }
+
+  /** Performs the sidecar's actions. */
+  performSidecar(actions: readonly SidecarLinksAction[]): void {
+    for (const action of actions) {
+      this.sidecarActions.push(action);
+      if (action.kind === 'send') this.#toEntry(action.connection, action.envelope);
+      if (action.kind === 'close') this.perform(this.entry.closed(action.connection, this.now));
+    }
+  }
+
+  #nonce(): string {
+    this.#nonces += 1;
+    return `nonce-${this.#nonces}`;
+  }
+
+  #open(epoch: Epoch): void {
+    this.sidecar.accepted(epoch, this.now);
+    this.perform(this.entry.opened(epoch));
+  }
+
+  #toSidecar(epoch: Epoch, envelope: Envelope<EntryFrame>): void {
+    if (this.lost.has(epoch)) return;
+    this.performSidecar(this.sidecar.received(epoch, envelope, this.now));
+  }
+
+  #toEntry(epoch: Epoch, envelope: Envelope<SidecarFrame>): void {
+    if (this.lost.has(epoch)) return;
+    this.perform(this.entry.received(epoch, envelope, this.now));
+  }
+}
--- /dev/null
+++ b/core/link/entryLink.test.ts
@@ -0,0 +1,145 @@
+import { expect } from 'chai';
+import { LinkPair } from './_linkPair.ts';
+import type { Call, ExchangeEvent } from './frames.ts';
+
+const CALL: Call = { kind: 'mint-key', service: 't/s' };
+
+const LIMITS = { generation: 1, budgetMs: 10_000 } as const;
+
+const DONE: ExchangeEvent = {
+  kind: 'final',
+  outcome: { kind: 'done' },
+  tokens: 0,
+  digest: '',
+  body: 'answer',
+};
+
+function chunk(text: string): ExchangeEvent {
+  return { kind: 'chunk', text, tokens: 1 };
+}
+
+function startPair(): LinkPair {
+  const pair = new LinkPair();
+  pair.advance(50);
+  return pair;
+}
+
+function submit(pair: LinkPair, name: string): void {
+  pair.perform(pair.entry.submit(name, CALL, LIMITS, pair.now));
+}
+
+function deliveredTo(pair: LinkPair): readonly ExchangeEvent[] {
+  return pair.entryActions.flatMap((action) => (action.kind === 'deliver' ? [action.event] : []));
+}
+
+function outcomesOf(pair: LinkPair): readonly string[] {
+  return deliveredTo(pair).flatMap((event) =>
+    event.kind === 'final' && event.outcome.kind !== 'done' ? [event.outcome.reason] : [],
+  );
+}
+
+describe('EntryLink', () => {
+  describe('handshake', () => {
+    it('makes the link ready when both ends hold the key', () => {
+      expect(startPair().entry.health).to.equal('ready');
+    });
+
+    it('refuses a sidecar that does not hold the key', () => {
+      const pair = new LinkPair({ entryKey: 'another-link-key-0123456789-abcdef' });
+      pair.advance(50);
+      expect(pair.entry.health).to.equal('connecting');
+      expect(pair.entryActions.map(({ kind }) => kind)).to.include('mismatch');
+    });
+
+    it('refuses a sidecar of another host', () => {
+      const pair = new LinkPair({ target: 'h2' });
+      pair.advance(50);
+      expect(pair.entry.health).to.equal('connecting');
+      expect(pair.sidecarActions.map(({ kind }) => kind)).to.include('refused');
+    });
+  });
+
+  describe('submit', () => {
+    it('ends as not run when no connection is ready', () => {
+      const pair = new LinkPair();
+      submit(pair, 'x');
+      expect(outcomesOf(pair)).to.deep.equal(['unreachable']);
+    });
+
+    it('delivers each event once and in order', () => {
+      const pair = startPair();
+      submit(pair, 'x');
+      [chunk('a'), chunk('b'), DONE].forEach((event) =>
+        pair.performSidecar(pair.sidecar.emit('x', event)),
+      );
+      expect(deliveredTo(pair)).to.deep.equal([chunk('a'), chunk('b'), DONE]);
+      expect(pair.sidecar.unacknowledged).to.equal(0);
+    });
+  });
+
+  describe('silence', () => {
+    it('opens a second connection, resumes the stream and proves the unseen call not run', () => {
+      const pair = startPair();
+      submit(pair, 'seen');
+      pair.performSidecar(pair.sidecar.emit('seen', chunk('a')));
+      pair.lost.add(1);
+      pair.performSidecar(pair.sidecar.emit('seen', chunk('b')));
+      submit(pair, 'unseen');
+      pair.advance(1100);
+      expect(pair.entry.health).to.equal('ready');
+      pair.performSidecar(pair.sidecar.emit('seen', DONE));
+      const texts = deliveredTo(pair).flatMap((event) =>
+        event.kind === 'chunk' ? [event.text] : [],
+      );
+      expect(texts).to.deep.equal(['a', 'b']);
+      expect(outcomesOf(pair)).to.deep.equal(['unreachable']);
+      expect(deliveredTo(pair).at(-1)).to.deep.equal(DONE);
+    });
+
+    it('fences a call that arrives late on the connection that was replaced', () => {
+      const pair = startPair();
+      pair.lost.add(1);
+      submit(pair, 'late');
+      const late = pair.entryActions.at(-1);
+      pair.advance(1100);
+      pair.lost.clear();
+      const before = pair.sidecarActions.length;
+      if (late?.kind !== 'send') throw new Error('the submit frame was not sent');
+      pair.performSidecar(pair.sidecar.received(late.epoch, late.envelope, pair.now));
+      const kinds = pair.sidecarActions.slice(before).map(({ kind }) => kind);
+      expect(kinds).not.to.include('run');
+    });
+  });
+
+  describe('restart of the sidecar', () => {
+    it('ends calls sent to the earlier incarnation as unknown', () => {
+      const pair = startPair();
+      submit(pair, 'x');
+      pair.sidecar = pair.createSidecar('s-2');
+      pair.perform(pair.entry.closed(1, pair.now));
+      pair.advance(500);
+      expect(outcomesOf(pair)).to.deep.equal(['restarted']);
+    });
+  });
+
+  describe('loss without return', () => {
+    it('ends calls as unknown once the time to give up has passed', () => {
+      const pair = startPair();
+      submit(pair, 'x');
+      for (let epoch = 1; epoch < 100; epoch += 1) pair.lost.add(epoch);
+      pair.advance(7000);
+      expect(outcomesOf(pair)).to.deep.equal(['link-lost']);
+    });
+  });
+
+  describe('frames out of order', () => {
+    it('drops a repeated frame and closes the connection on a gap', () => {
+      const pair = startPair();
+      const frame = { kind: 'event', exchange: 'x', number: 0, event: chunk('a') } as const;
+      pair.perform(pair.entry.received(1, { sequence: 0, frame }, pair.now));
+      expect(pair.entry.health).to.equal('ready');
+      pair.perform(pair.entry.received(1, { sequence: 99, frame }, pair.now));
+      expect(pair.entryActions.at(-1)).to.have.property('kind', 'close');
+    });
+  });
+});
