Test the path through separate processes

Cause: nothing ran the entry, sidecar and stand-ins as processes of their own. The tests wait for events of the JSON log, which now tells the ports taken. The demo idled 12 s at its end because the stand-in's waiting watch kept a 20 s timer, and clients kept their watch open; both are now closed. Ruled out: keep-alive of undici, which does not hold the process. The warning HS2004 at shutdown came from the watch that the closing stand-in broke off; a stopped reader no longer logs it.

--- a/cli/standinsCommand.ts
+++ b/cli/standinsCommand.ts
@@ -1,8 +1,27 @@
+import { dirname, join } from 'node:path';
 import { Command, Option } from 'clipanion';
+import { packSet } from '../core/set/mod.ts';
+import type { PackedValue } from '../core/set/mod.ts';
+import { createLog } from '../log/mod.ts';
 import { startStandins } from '../programs/mod.ts';
+import type { Settings } from '../settings/mod.ts';
+import { checkSetFiles } from './_checkSetFiles.ts';
 import { readSettingsFile } from './_readFileOrExplain.ts';
+import type { Refusal } from './_readFileOrExplain.ts';
 import { runUntilSignal } from './_runUntilSignal.ts';
 
+/** Reads, checks and packs the set that the settings name, if any. */
+function readPublication(
+  file: string,
+  settings: Settings<'standins'>,
+): { readonly kind: 'values'; readonly values: readonly PackedValue[] } | Refusal {
+  const { set, generation } = settings.platform;
+  if (set === undefined) return { kind: 'values', values: [] };
+  const check = checkSetFiles([join(dirname(file), set)]);
+  if (check.kind === 'refusal') return check;
+  return { kind: 'values', values: packSet(check.objects, generation).values };
+}
+
 /** `hyssopspread standins`. */
 export class StandinsCommand extends Command {
   static override paths = [['standins']];
@@ -20,12 +39,18 @@
       this.context.stderr.write(`${reading.text}\n`);
       return 1;
     }
-    const running = await startStandins(reading.settings);
+    const { settings } = reading;
+    const publication = readPublication(this.settings, settings);
+    if (publication.kind === 'refusal') {
+      this.context.stderr.write(`${publication.text}\n`);
+      return 1;
+    }
+    const log = createLog({ ...settings.log, fields: { role: 'standins' } });
+    const running = await startStandins(settings, publication.values);
     const { platformPort, enginePorts, servicePort } = running;
-    this.context.stdout.write(
-      `platform ${platformPort}, engines ${enginePorts.join(' ')}, service ${servicePort}\n`,
-    );
+    log('processStarted', { platformPort, enginePorts: enginePorts.join(' '), servicePort });
     await runUntilSignal(running.stop);
+    log('processStopped');
     return 0;
   }
 }
--- a/programs/demo/_startDeployment.ts
+++ b/programs/demo/_startDeployment.ts
@@ -41,7 +41,7 @@
 
 function startStandinsOf(deployment: Deployment): Promise<RunningStandins> {
   return startStandins({
-    platform: { listen: ANY_PORT, set: '' },
+    platform: { listen: ANY_PORT, generation: DEMO_GENERATION },
     store: {
       loads_per_second: deployment.loadsPerSecond,
       loads_at_once: deployment.loadsAtOnce,
@@ -53,6 +53,7 @@
     },
     service: { listen: ANY_PORT },
     hosts: {},
+    log: { format: 'text', level: 'warn' },
   });
 }
 
--- /dev/null
+++ b/programs/processes.test.ts
@@ -0,0 +1,157 @@
+import { expect } from 'chai';
+import { request } from 'undici';
+import { expectedText, openStream, stream } from './testing/callerClient.ts';
+import type { CallerAddress, StreamedAnswer } from './testing/callerClient.ts';
+import { FLEET_TOKEN, ProcessFleet } from './testing/processFleet.ts';
+import type { ProcessFleetOptions } from './testing/processFleet.ts';
+import { startSilentRelay } from './testing/silentRelay.ts';
+import type { SilentRelay } from './testing/silentRelay.ts';
+
+const SHORT = 5;
+
+const LONG = 60;
+
+const SUSPECTED = 'HS3002';
+
+const REQUEST_ENDED = 'HS4001';
+
+const STOPPING = 'HS1002';
+
+const STOPPED = 'HS1003';
+
+function expectWhole(answer: StreamedAnswer, tokens: number): void {
+  expect(answer).to.include({ status: 200, servedBy: 't/a@1', outcome: 'done' });
+  expect(answer.text).to.equal(expectedText(tokens));
+}
+
+describe('separate processes', () => {
+  let fleet: ProcessFleet;
+  let caller: CallerAddress;
+
+  const start = async (options: ProcessFleetOptions = {}): Promise<void> => {
+    fleet = await ProcessFleet.start(options);
+    caller = { url: fleet.url, token: FLEET_TOKEN };
+  };
+
+  afterEach(() => fleet.stop());
+
+  describe('a request', () => {
+    beforeEach(() => start());
+
+    it('streams the whole answer and is named in the log of the entry', async () => {
+      const answer = await stream(caller, SHORT);
+      expectWhole(answer, SHORT);
+      const { requestName } = answer;
+      await fleet.entry.event(REQUEST_ENDED, (line) => line.request === requestName);
+    });
+
+    it('takes effect once when a booking is sent twice with one key', async () => {
+      const service = `${fleet.url}/v1/services/t/s`;
+      const authorization = `Bearer ${FLEET_TOKEN}`;
+      const minted = await request(`${service}/keys`, {
+        method: 'POST',
+        headers: { authorization },
+      });
+      const { key } = (await minted.body.json()) as { readonly key: string };
+      const book = async (): Promise<unknown> => {
+        const response = await request(`${service}/calls`, {
+          method: 'POST',
+          headers: { authorization, 'idempotency-key': key },
+          body: '{"bench":2}',
+        });
+        return response.body.json();
+      };
+      const first = await book();
+      expect(first).to.deep.include({
+        outcome: 'done',
+        answer: JSON.stringify({ number: 1, request: '{"bench":2}' }),
+      });
+      expect(await book()).to.deep.equal(first);
+    });
+  });
+
+  describe('SIGTERM', () => {
+    beforeEach(() => start());
+
+    it('lets a sidecar finish its stream, take no other and exit with 0', async () => {
+      const open = await openStream(caller, LONG);
+      const sidecar = fleet.sidecars.get(open.host)!;
+      sidecar.signal('SIGTERM');
+      await sidecar.event(STOPPING);
+      const next = await stream(caller, SHORT);
+      expectWhole(next, SHORT);
+      expect(next.host).not.to.equal(open.host);
+      expectWhole(await open.answer, LONG);
+      await sidecar.event(STOPPED);
+      expect(await sidecar.exit).to.deep.equal({ code: 0, signal: null });
+    });
+
+    it('lets an entry finish its stream, take no other and exit with 0', async () => {
+      const open = await openStream(caller, LONG);
+      fleet.entry.signal('SIGTERM');
+      await fleet.entry.event(STOPPING);
+      const refused = await stream(caller, SHORT);
+      expect(refused.status).to.equal(503);
+      expectWhole(await open.answer, LONG);
+      expect(await fleet.entry.exit).to.deep.equal({ code: 0, signal: null });
+    });
+  });
+
+  describe('SIGKILL of a sidecar', () => {
+    beforeEach(() => start());
+
+    it('ends its stream as unknown, and later requests go elsewhere', async () => {
+      const open = await openStream(caller, LONG);
+      const killed = fleet.sidecars.get(open.host)!;
+      await killed.kill();
+      expect((await open.answer).outcome).to.equal('unknown');
+      const next = await stream(caller, SHORT);
+      expectWhole(next, SHORT);
+      expect(next.host).not.to.equal(open.host);
+    });
+  });
+
+  describe('SIGSTOP of a sidecar', () => {
+    beforeEach(() => start());
+
+    it('sends requests elsewhere until it goes on, and then cuts no stream', async () => {
+      const open = await openStream(caller, LONG);
+      const paused = fleet.sidecars.get(open.host)!;
+      const seen = fleet.entry.lines.length;
+      paused.signal('SIGSTOP');
+      await fleet.entry.event(SUSPECTED, ({ peer }) => peer === open.host, seen);
+      const next = await stream(caller, SHORT);
+      expectWhole(next, SHORT);
+      expect(next.host).not.to.equal(open.host);
+      paused.signal('SIGCONT');
+      expectWhole(await open.answer, LONG);
+    });
+  });
+
+  describe('a relay that goes silent', () => {
+    const relays: SilentRelay[] = [];
+
+    beforeEach(() =>
+      start({
+        relay: async (_host, port) => {
+          const relay = await startSilentRelay(port);
+          relays.push(relay);
+          return relay.port;
+        },
+      }),
+    );
+
+    afterEach(async () => {
+      await Promise.all(relays.splice(0).map((relay) => relay.close()));
+    });
+
+    it('cuts no stream, since a new connection takes the place of the silent one', async () => {
+      const open = await openStream(caller, LONG);
+      const seen = fleet.entry.lines.length;
+      relays.forEach((relay) => relay.silence());
+      await fleet.entry.event(SUSPECTED, ({ peer }) => peer === open.host, seen);
+      await fleet.linkReady(open.host, seen);
+      expectWhole(await open.answer, LONG);
+    });
+  });
+});
--- a/programs/startEntry.ts
+++ b/programs/startEntry.ts
@@ -48,9 +48,10 @@
   const configuration = createHttpConfiguration(settings.platform.configuration);
   const onSet = task.applySet.bind(task);
   const setTask = new SetTask({ clock, configuration, log, onSet });
+  const hostList = createHttpHostList(settings.platform.host_list);
   const hostListTask = new HostListTask({
     clock,
-    hostList: createHttpHostList(settings.platform.host_list),
+    hostList,
     log,
     onHosts: (hosts) => task.applyHosts(hosts),
   });
@@ -67,7 +68,11 @@
   );
   setTask.start();
   hostListTask.start();
-  log('processStarted', { role: 'entry', incarnation: identity.incarnation });
+  log('processStarted', {
+    incarnation: identity.incarnation,
+    callersPort: callers.port,
+    adminPort: admin.port,
+  });
   return {
     ports: { callers: callers.port, admin: admin.port },
     status: () => task.status(),
@@ -80,6 +85,8 @@
       setTask.stop();
       hostListTask.stop();
       task.stop();
+      await configuration.close();
+      await hostList.close();
       await admin.close();
       log('processStopped');
     },
--- a/programs/startSidecar.ts
+++ b/programs/startSidecar.ts
@@ -51,7 +51,11 @@
   );
   task.start();
   setTask.start();
-  log('processStarted', { role: 'sidecar', incarnation: identity.incarnation });
+  log('processStarted', {
+    incarnation: identity.incarnation,
+    linksPort: links.port,
+    adminPort: admin.port,
+  });
   return {
     ports: { links: links.port, admin: admin.port },
     status: () => task.status(),
@@ -62,6 +66,7 @@
       });
       setTask.stop();
       task.stop();
+      await configuration.close();
       await links.close();
       await admin.close();
       log('processStopped');
--- a/programs/startStandins.ts
+++ b/programs/startStandins.ts
@@ -1,4 +1,5 @@
 import type { ListedHost } from '../core/membership/mod.ts';
+import type { PackedValue } from '../core/set/mod.ts';
 import type { Settings } from '../settings/mod.ts';
 import {
   ConfigurationModel,
@@ -23,24 +24,24 @@
   readonly stop: () => Promise<void>;
 };
 
-function parseHost(host: string, text: string): ListedHost {
-  const [role = '', address = '', availabilityZone = ''] = text.split(/\s+/);
-  if (role !== 'entry' && role !== 'sidecar') {
-    throw new Error(`host ${host} = "${text}" must be "entry|sidecar IP:PORT ZONE"; correct it`);
-  }
-  return { host, role, address, availabilityZone, state: 'live' };
-}
-
 /**
  * Starts the stand-ins of one deployment.
  *
  * @param settings Checked settings.
+ * @param values Values that the configuration service holds from the start.
  */
-export async function startStandins(settings: Settings<'standins'>): Promise<RunningStandins> {
+export async function startStandins(
+  settings: Settings<'standins'>,
+  values: readonly PackedValue[] = [],
+): Promise<RunningStandins> {
   const clock = realClock;
   const configuration = new ConfigurationModel(clock);
   const list = {
-    hosts: Object.entries(settings.hosts).map(([host, text]) => parseHost(host, text)),
+    hosts: Object.entries(settings.hosts).map(([host, facts]): ListedHost => ({
+      host,
+      ...facts,
+      state: 'live',
+    })),
   };
   const store = new WeightStore({
     clock,
@@ -55,6 +56,7 @@
   );
   const service = new ServiceModel(clock);
   const serviceListener = await serveService(service, settings.service.listen);
+  values.forEach(({ name, text }) => configuration.put(name, text));
   const platform = await servePlatform(configuration, list, settings.platform.listen);
   return {
     configuration,
@@ -66,6 +68,7 @@
     enginePorts: engines.map((engine) => engine.port),
     servicePort: serviceListener.port,
     stop: async () => {
+      configuration.close();
       await Promise.all([...engines, serviceListener, platform].map((each) => each.abort()));
     },
   };
--- a/settings/_schemas.ts
+++ b/settings/_schemas.ts
@@ -1,6 +1,8 @@
 import { isIP } from 'node:net';
 import { z } from 'zod';
 
+const LISTED_HOST_FORM = 'must be "entry|sidecar IP:PORT AVAILABILITY_ZONE"';
+
 const MOST_PORT = 65_535;
 
 /** An IP number and a port. */
@@ -68,6 +70,16 @@
   })
   .prefault({});
 
+const listedHost = z
+  .string()
+  .transform((text) => text.split(/\s+/))
+  .pipe(z.tuple([z.enum(['entry', 'sidecar']), address, hostName], LISTED_HOST_FORM))
+  .transform(([role, { ip, port }, availabilityZone]) => ({
+    role,
+    address: `${ip}:${port}`,
+    availabilityZone,
+  }));
+
 /** The settings of an entry. */
 export const entrySchema = z.strictObject({
   process: processSection,
@@ -99,7 +111,12 @@
 
 /** The settings of the stand-ins of one deployment. */
 export const standinsSchema = z.strictObject({
-  platform: z.strictObject({ listen: address, set: z.string().default('') }),
+  platform: z.strictObject({
+    listen: address,
+    /** A set that is published at the start, named from the settings file's folder. */
+    set: z.string().min(1).optional(),
+    generation: wholeNumber(1, Number.MAX_SAFE_INTEGER).default(1),
+  }),
   store: z.strictObject({
     loads_per_second: wholeNumber(1, 1000),
     loads_at_once: wholeNumber(1, 1000),
@@ -113,7 +130,8 @@
     batch_width: wholeNumber(1, 1000).default(16),
   }),
   service: z.strictObject({ listen: address }),
-  hosts: z.record(z.string(), z.string()),
+  hosts: z.record(z.string(), listedHost).default({}),
+  log: logSection,
 });
 
 /** The schemas by the command whose settings they check. */
--- a/standins/configurationModel.ts
+++ b/standins/configurationModel.ts
@@ -1,7 +1,7 @@
 import type { Clock, Milliseconds } from '../core/clock/mod.ts';
 import type { Configuration, ConfigurationValue } from '../tasks/ports/mod.ts';
 
-type Watcher = (value: ConfigurationValue | undefined) => void;
+type Watcher = () => void;
 
 const WATCH_MS: Milliseconds = 20_000;
 
@@ -40,7 +40,12 @@
     this.#values.set(name, value);
     const watchers = this.#watchers.get(name) ?? new Set();
     this.#watchers.delete(name);
-    watchers.forEach((watcher) => watcher(value));
+    watchers.forEach((watcher) => watcher());
+  }
+
+  /** Ends every waiting watch. */
+  close(): void {
+    this.#watchers.forEach((watchers) => watchers.forEach((watcher) => watcher()));
   }
 
   read(name: string): Promise<ConfigurationValue | undefined> {
@@ -57,15 +62,18 @@
     return this.#wait(name);
   }
 
-  #wait(name: string): Promise<ConfigurationValue | undefined> {
-    return new Promise((resolve) => {
-      const watchers = this.#watchers.get(name) ?? new Set();
-      this.#watchers.set(name, watchers);
-      watchers.add(resolve);
-      this.#clock.schedule(WATCH_MS, () => {
-        watchers.delete(resolve);
-        resolve(this.#values.get(name));
-      });
+  async #wait(name: string): Promise<ConfigurationValue | undefined> {
+    const watchers = this.#watchers.get(name) ?? new Set();
+    this.#watchers.set(name, watchers);
+    let watch: Watcher = () => undefined;
+    const change = new Promise<void>((resolve) => {
+      watch = () => resolve();
     });
+    watchers.add(watch);
+    const cancel = this.#clock.schedule(WATCH_MS, watch);
+    await change;
+    cancel();
+    watchers.delete(watch);
+    return this.#values.get(name);
   }
 }
--- a/standins/platformServer.ts
+++ b/standins/platformServer.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import polka from 'polka';
+import { z } from 'zod';
 import type { ListedHost } from '../core/membership/mod.ts';
 import { listenHttp, readBody, respondJson, respondText } from '../http/mod.ts';
 import type { HttpAddress, HttpListener } from '../http/mod.ts';
@@ -36,6 +37,30 @@
   respondText(response, 200, '');
 }
 
+const hostsSchema = z.array(
+  z.object({
+    host: z.string(),
+    role: z.enum(['entry', 'sidecar']),
+    address: z.string(),
+    availabilityZone: z.string(),
+    state: z.enum(['live', 'leaving']),
+  }),
+);
+
+async function putHosts(
+  list: HostListModel,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const reading = await readBody(request, MAX_VALUE_BYTES);
+  if (reading.kind !== 'body') {
+    respondText(response, 413, 'the list is at most a megabyte of UTF-8');
+    return;
+  }
+  list.hosts = hostsSchema.parse(JSON.parse(reading.text));
+  respondText(response, 200, '');
+}
+
 /** A list of hosts that only the platform changes. */
 export type HostListModel = { hosts: readonly ListedHost[] };
 
@@ -62,6 +87,7 @@
   app.put(`${VALUES}*`, (request, response) =>
     run(putValue(configuration, urlOf(request), request, response), response),
   );
+  app.put('/v1/hosts', (request, response) => run(putHosts(list, request, response), response));
   app.get('/v1/hosts', (_request, response) => respondJson(response, 200, list.hosts));
   return listenHttp(address, (request, response) => {
     app.handler(request as Parameters<typeof app.handler>[0], response);
--- a/tasks/set/setTask.ts
+++ b/tasks/set/setTask.ts
@@ -53,6 +53,7 @@
         this.#readHead(taken ? (value?.revision ?? '') : '').catch(() => undefined);
       });
     } catch (error) {
+      if (this.#stopped) return;
       log('configurationDown', { detail: String(error) });
       clock.schedule(retryMs, () => {
         this.#readHead('').catch(() => undefined);
