Answer bad input clearly and bound what is kept of it

Cause: an oversized body closed the socket before its refusal was sent, since leaving the body's iterator destroys the request; it is now read on and dropped up to eight times the limit. A caller who does not read its stream made the entry keep all of it; over [limits] unread_bytes the connection is closed (HS4004). A wrong method on a path of services is 405, not 404.

--- a/entry/_answerWriter.ts
+++ b/entry/_answerWriter.ts
@@ -40,6 +40,10 @@
 
   readonly #stream: boolean;
 
+  readonly #maxUnreadBytes: number;
+
+  readonly #onSlowCaller: () => void;
+
   #servedBy = '';
 
   #host = '';
@@ -52,16 +56,22 @@
       readonly name: string;
       readonly form: CompletionForm;
       readonly stream: boolean;
+      /** Bytes that may wait for a slow caller. */
+      readonly maxUnreadBytes: number;
+      readonly onSlowCaller: () => void;
     },
   ) {
     this.#response = response;
     this.#name = options.name;
     this.#form = FORMS[options.form];
     this.#stream = options.stream;
+    this.#maxUnreadBytes = options.maxUnreadBytes;
+    this.#onSlowCaller = options.onSlowCaller;
   }
 
   /** Writes an event. */
   write(event: SubmissionEvent): void {
+    if (this.#response.destroyed) return;
     switch (event.kind) {
       case 'started':
         this.#servedBy = event.servedBy;
@@ -96,6 +106,7 @@
 
   #event(value: unknown): void {
     this.#response.write(`data: ${JSON.stringify(value)}\n\n`);
+    if (this.#response.writableLength > this.#maxUnreadBytes) this.#onSlowCaller();
   }
 
   #writeChunk(text: string): void {
--- /dev/null
+++ b/entry/createCallerHandler.test.ts
@@ -0,0 +1,57 @@
+import { connect } from 'node:net';
+import { expect } from 'chai';
+import { listenHttp } from '../http/mod.ts';
+import type { LogFields } from '../log/mod.ts';
+import type { Submission } from '../tasks/entry/mod.ts';
+import { createCallerHandler } from './createCallerHandler.ts';
+
+const MAX_UNREAD_BYTES = 65_536;
+
+const CHUNK = 'x'.repeat(1024);
+
+/** Bytes that a chunk's event adds to its text. */
+const EVENT_BYTES = 512;
+
+describe('createCallerHandler', () => {
+  it('keeps only so much of a stream for a caller who does not read', async () => {
+    let isAbandoned = false;
+    let onAbandoned = (): void => undefined;
+    const abandoned = new Promise<void>((resolve) => {
+      onAbandoned = resolve;
+    });
+    const pump = ({ onEvent }: Submission): void => {
+      if (isAbandoned) return;
+      onEvent({ kind: 'chunk', text: CHUNK, tokens: 1 });
+      setImmediate(() => pump({ onEvent } as Submission));
+    };
+    const logged: LogFields[] = [];
+    const handler = createCallerHandler({
+      task: {
+        submit: (submission) => {
+          submission.onEvent({ kind: 'started', servedBy: 't/a@1', host: 'h' });
+          pump(submission);
+        },
+        abandon: () => {
+          isAbandoned = true;
+          onAbandoned();
+        },
+        modelsOf: () => [],
+      },
+      maxUnreadBytes: MAX_UNREAD_BYTES,
+      log: (_name, fields = {}) => logged.push(fields),
+    });
+    const listener = await listenHttp({ ip: '127.0.0.1', port: 0 }, handler);
+    const socket = connect(listener.port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    const body = '{"model":"t/a@1","prompt":"","stream":true}';
+    socket.write(
+      `POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+    );
+    await abandoned;
+    socket.destroy();
+    await listener.abort();
+    expect(logged).to.have.length(1);
+    const unread = Number(logged[0]?.unreadBytes);
+    expect(unread).to.be.within(MAX_UNREAD_BYTES, MAX_UNREAD_BYTES + CHUNK.length + EVENT_BYTES);
+  });
+});
--- a/entry/createCallerHandler.ts
+++ b/entry/createCallerHandler.ts
@@ -7,19 +7,26 @@
 import { sha256 } from '../core/set/mod.ts';
 import { readBody, respondJson } from '../http/mod.ts';
 import type { HttpHandler } from '../http/mod.ts';
+import type { Log } from '../log/mod.ts';
 import type { CallerRequest, EntryTask, SubmissionEvent } from '../tasks/entry/mod.ts';
 import { AnswerWriter } from './_answerWriter.ts';
 import { readCompletionBody } from './_completionBody.ts';
 import type { CompletionForm } from './_completionBody.ts';
 import { outcomeError, outcomeHeaders, outcomeStatus } from './outcomeStatus.ts';
 
+/** What the handler needs of an entry's task. */
+export type RequestServer = Pick<EntryTask, 'submit' | 'abandon' | 'modelsOf'>;
+
 /** How to build the handler of callers' requests. */
 export type CallerHandlerOptions = {
-  readonly task: EntryTask;
+  readonly task: RequestServer;
   /** @default 1048576 */
   readonly maxBodyBytes?: number;
   /** @default 60000 */
   readonly timeoutMs?: Milliseconds;
+  /** Bytes of a stream that may wait for a slow caller. @default 262144 */
+  readonly maxUnreadBytes?: number;
+  readonly log: Log;
 };
 
 type Reply = {
@@ -46,16 +53,22 @@
 
 /** Handles callers' HTTP requests by an entry's task. */
 class CallerHandler {
-  readonly #task: EntryTask;
+  readonly #task: RequestServer;
 
   readonly #maxBodyBytes: number;
 
   readonly #timeoutMs: Milliseconds;
 
+  readonly #maxUnreadBytes: number;
+
+  readonly #log: Log;
+
   constructor(options: CallerHandlerOptions) {
     this.#task = options.task;
     this.#maxBodyBytes = options.maxBodyBytes ?? MEBIBYTE;
     this.#timeoutMs = options.timeoutMs ?? 60_000;
+    this.#maxUnreadBytes = options.maxUnreadBytes ?? MEBIBYTE / 4;
+    this.#log = options.log;
   }
 
   async complete(form: CompletionForm, reply: Reply): Promise<void> {
@@ -67,7 +80,17 @@
       return;
     }
     const { request, stream } = reading.body;
-    const writer = new AnswerWriter(reply.response, { name: reply.name, form, stream });
+    const { name, response } = reply;
+    const writer = new AnswerWriter(response, {
+      name,
+      form,
+      stream,
+      maxUnreadBytes: this.#maxUnreadBytes,
+      onSlowCaller: () => {
+        this.#log('callerTooSlow', { request: name, unreadBytes: response.writableLength });
+        response.destroy();
+      },
+    });
     this.#submit(reply, request, (event) => writer.write(event));
   }
 
@@ -135,15 +158,18 @@
   }
 }
 
-const METHODS: Readonly<Record<string, string>> = {
-  '/v1/completions': 'POST',
-  '/v1/chat/completions': 'POST',
-  '/v1/models': 'GET',
-};
+/** The methods of each path that the entry serves. */
+const METHODS: readonly { readonly path: RegExp; readonly allowed: string }[] = [
+  { path: /^\/v1\/(chat\/)?completions$/, allowed: 'POST' },
+  { path: /^\/v1\/models$/, allowed: 'GET' },
+  { path: /^\/v1\/services\/[^/]+\/[^/]+\/(keys|calls)$/, allowed: 'POST' },
+  { path: /^\/v1\/services\/[^/]+\/[^/]+\/keys\/[^/]+$/, allowed: 'DELETE' },
+  { path: /^\/v1\/services\/[^/]+\/[^/]+\/calls\/[^/]+$/, allowed: 'GET' },
+];
 
 function answerNoMatch(request: IncomingMessage, response: ServerResponse): void {
   const path = (request.url ?? '').split('?')[0] ?? '';
-  const method = METHODS[path];
+  const method = METHODS.find((each) => each.path.test(path))?.allowed;
   const name = nanoid();
   if (method === undefined) {
     refuse(response, name, notRun('not-found', `there is no ${path}; see docs/API.md`));
@@ -151,7 +177,8 @@
   }
   response.setHeader('Allow', method);
   const outcome = notRun('bad-request', `${path} takes ${method}, not ${request.method}`);
-  respondJson(response, 405, outcomeError(outcome), outcomeHeaders(outcome));
+  const headers = { ...outcomeHeaders(outcome), 'X-Request-Id': name };
+  respondJson(response, 405, outcomeError(outcome), headers);
 }
 
 /**
--- a/http/readBody.ts
+++ b/http/readBody.ts
@@ -17,23 +17,30 @@
   }
 }
 
+/** How much of a body that is too large is read and dropped, as a multiple of the limit. */
+const MAX_DISCARDED_LIMITS = 8;
+
 /**
  * Reads a request's body as UTF-8 text.
  *
  * @param request The request.
+ * A body over the limit is read on and dropped for a while, since a caller that still sends does
+ * not see the answer when the connection closes under it.
+ *
  * @param limitBytes The largest body that is kept in memory.
  */
 export async function readBody(request: IncomingMessage, limitBytes: number): Promise<BodyReading> {
   const chunks: Buffer[] = [];
   let size = 0;
   try {
-    for await (const chunk of request) {
+    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
       size += (chunk as Buffer).length;
-      if (size > limitBytes) return { kind: 'too-large', limitBytes };
-      chunks.push(chunk as Buffer);
+      if (size <= limitBytes) chunks.push(chunk as Buffer);
+      else chunks.length = 0;
+      if (size > MAX_DISCARDED_LIMITS * limitBytes) break;
     }
   } catch {
     return { kind: 'broken-off' };
   }
-  return decode(chunks);
+  return size > limitBytes ? { kind: 'too-large', limitBytes } : decode(chunks);
 }
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -104,6 +104,12 @@
     message: 'An engine answered with another adapter version; the answer was withheld',
     remedy: 'Check what the engine has loaded under this name',
   },
+  callerTooSlow: {
+    number: 'HS4004',
+    level: 'warn',
+    message: 'A caller read its stream too slowly; its connection was closed',
+    remedy: 'Let the caller read faster, or raise unread_bytes under [limits]',
+  },
   orderEnded: {
     number: 'HS5001',
     level: 'info',
--- a/programs/demo/_startDeployment.ts
+++ b/programs/demo/_startDeployment.ts
@@ -82,7 +82,7 @@
     listen: { callers: ANY_PORT, admin: ANY_PORT },
     platform: common.platform,
     link: {},
-    limits: { request_timeout: 60_000, body_bytes: 1_048_576 },
+    limits: { request_timeout: 60_000, body_bytes: 1_048_576, unread_bytes: 262_144 },
     log: { format: 'text', level: 'warn' },
   };
   return startEntry({ settings, linkKeys: LINK_KEYS, log: common.log });
--- a/programs/startEntry.ts
+++ b/programs/startEntry.ts
@@ -61,6 +61,8 @@
       task,
       maxBodyBytes: settings.limits.body_bytes,
       timeoutMs: settings.limits.request_timeout,
+      maxUnreadBytes: settings.limits.unread_bytes,
+      log,
     }),
   );
   const admin = await listenHttp(settings.listen.admin, (_request, response) =>
--- a/settings/_schemas.ts
+++ b/settings/_schemas.ts
@@ -89,7 +89,8 @@
   limits: z
     .strictObject({
       request_timeout: milliseconds.default(60_000),
-      body_bytes: wholeNumber(1024, 16_777_216).default(1_048_576),
+      body_bytes: wholeNumber(1024, 2_097_152).default(1_048_576),
+      unread_bytes: wholeNumber(16_384, 16_777_216).default(262_144),
     })
     .prefault({}),
   log: logSection,
--- a/sidecar/createHttpService.ts
+++ b/sidecar/createHttpService.ts
@@ -1,8 +1,11 @@
-import { request } from 'undici';
+import { Agent, request } from 'undici';
 import type { Milliseconds } from '../core/clock/mod.ts';
 import type { PlainService } from '../tasks/ports/mod.ts';
 import { isConnectError } from './createHttpEngine.ts';
 
+/** The longest reply that fits a frame of the link with room to spare, in bytes. */
+const MAX_REPLY_BYTES = 1024 * 1024;
+
 /** How to reach a plain service. */
 export type HttpServiceOptions = {
   /** The address to which calls are posted. */
@@ -18,10 +21,12 @@
  */
 export function createHttpService(options: HttpServiceOptions): PlainService {
   const { url, timeoutMs = 30_000 } = options;
+  const agent = new Agent({ maxResponseSize: MAX_REPLY_BYTES });
   return {
     call: async (body) => {
       try {
         const response = await request(url, {
+          dispatcher: agent,
           method: 'POST',
           headers: { 'content-type': 'application/json' },
           headersTimeout: timeoutMs,
