--- a/scenario/world/processGate.ts
+++ b/scenario/world/processGate.ts
@@ -10,6 +10,8 @@
 
   #held: (() => void)[] = [];
 
+  readonly #onKill = new Set<() => void>();
+
   constructor(clock: Clock) {
     this.#clock = clock;
   }
@@ -60,5 +62,23 @@
   kill(): void {
     this.#dead = true;
     this.#held = [];
+    this.#onKill.forEach((call) => call());
+    this.#onKill.clear();
+  }
+
+  /** Calls back when the process is killed; returns how to take that back. */
+  onKill(call: () => void): () => void {
+    this.#onKill.add(call);
+    return () => this.#onKill.delete(call);
+  }
+
+  /** Returns a promise that settles as the process sees it: at wake, or never when dead. */
+  hold<T>(promise: Promise<T>): Promise<T> {
+    return new Promise((resolve, reject) => {
+      promise.then(
+        (value) => this.run(() => resolve(value)),
+        (error: unknown) => this.run(() => reject(error as Error)),
+      );
+    });
   }
 }
--- a/scenario/world/virtualNetwork.ts
+++ b/scenario/world/virtualNetwork.ts
@@ -25,9 +25,21 @@
   events?.closed();
 }
 
+/** What the network does with one frame. */
+export type FrameTreatment =
+  | { readonly kind: 'deliver' }
+  | { readonly kind: 'lose' }
+  | { readonly kind: 'repeat' }
+  | { readonly kind: 'delay'; readonly delayMs: Milliseconds };
+
+/** A frame on its way. */
+export type FrameFacts = { readonly number: number; readonly from: string; readonly to: string };
+
 /** How a network behaves. */
 export type VirtualNetworkOptions = {
   readonly clock: Clock;
+  /** Decides what happens to each frame. @default every frame is delivered */
+  readonly treat?: (frame: FrameFacts) => FrameTreatment;
   /** Returns the one-way delay between two hosts. */
   readonly latency: (from: string, to: string) => Milliseconds;
 };
@@ -132,7 +144,7 @@
     return {
       send: (bytes) => {
         this.#frames += 1;
-        if (pair.open) this.#pass(lane, () => lane.events?.received(bytes));
+        if (pair.open) this.#carry(lane, () => lane.events?.received(bytes));
       },
       close: () => this.#close(pair, isDialler),
     };
@@ -146,6 +158,19 @@
     this.#pairs = this.#pairs.filter((each) => each.open || each.there.held.length > 0);
   }
 
+  /** Carries a frame as the options say. */
+  #carry(lane: Lane, deliver: () => void): void {
+    const facts = { number: this.#frames, from: lane.from.host, to: lane.to.host };
+    const treatment = this.#options.treat?.(facts) ?? { kind: 'deliver' };
+    if (treatment.kind === 'lose') return;
+    if (treatment.kind === 'delay') {
+      this.#options.clock.schedule(treatment.delayMs, () => this.#pass(lane, deliver));
+      return;
+    }
+    this.#pass(lane, deliver);
+    if (treatment.kind === 'repeat') this.#pass(lane, deliver);
+  }
+
   /** Carries a call along a lane, or holds it while the path is cut. */
   #pass(lane: Lane, call: () => void): void {
     if (lane.silent) return;
--- a/scenario/world/virtualWorld.ts
+++ b/scenario/world/virtualWorld.ts
@@ -1,7 +1,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { createVirtualClock } from '../../core/clock/mod.ts';
-import type { Clock, Milliseconds, VirtualClock } from '../../core/clock/mod.ts';
+import type { Milliseconds, VirtualClock } from '../../core/clock/mod.ts';
 import type { Identity } from '../../core/link/mod.ts';
 import type { ListedHost } from '../../core/membership/mod.ts';
 import { checkSet, packSet, parseSet } from '../../core/set/mod.ts';
@@ -14,7 +14,8 @@
 import type { Backend } from '../../tasks/sidecar/mod.ts';
 import { ProcessGate } from './processGate.ts';
 import { VirtualNetwork } from './virtualNetwork.ts';
-import type { Endpoint } from './virtualNetwork.ts';
+import type { Endpoint, VirtualNetworkOptions } from './virtualNetwork.ts';
+import { gateBackend, gateConfiguration } from './_gatedPorts.ts';
 
 /** How to build a `VirtualWorld`. */
 export type VirtualWorldOptions = {
@@ -22,6 +23,8 @@
   readonly seed?: number;
   /** One-way delay between two hosts. @default 0.5 */
   readonly latencyMs?: Milliseconds;
+  /** Decides what happens to each frame. @default every frame is delivered */
+  readonly treat?: VirtualNetworkOptions['treat'];
   /** Told of every log event of every process. */
   readonly onLog?: (
     time: Milliseconds,
@@ -75,6 +78,7 @@
     this.network = new VirtualNetwork({
       clock: this.clock,
       latency: () => options.latencyMs ?? 0.5,
+      ...(options.treat === undefined ? {} : { treat: options.treat }),
     });
     this.configuration = new ConfigurationModel(this.clock);
   }
@@ -115,18 +119,24 @@
       dial: this.network.dialFrom(endpoint),
       log,
     });
-    this.#watchSet(clock, log, task);
+    this.#watchSet(endpoint, log, task);
     new HostListTask({
       clock,
-      hostList: { read: () => Promise.resolve(this.hosts) },
+      hostList: { read: () => endpoint.gate.hold(Promise.resolve(this.hosts)) },
       log,
       onHosts: (hosts) => task.applyHosts(hosts),
     }).start();
     return this.#process(endpoint, identity, task);
   }
 
-  /** Starts a sidecar, which listens at the address that is its host's name. */
-  startSidecar(host: string, backend: Backend): WorldProcess<SidecarTask> {
+  /**
+   * Starts a sidecar.
+   *
+   * @param host Its host.
+   * @param backend The backend server beside it.
+   * @param address Where it listens; the host's name unless given.
+   */
+  startSidecar(host: string, backend: Backend, address = host): WorldProcess<SidecarTask> {
     const endpoint = this.#endpoint(host);
     const identity: Identity = { role: 'sidecar', host, incarnation: this.nonce() };
     const { clock } = endpoint.gate;
@@ -135,13 +145,13 @@
       clock,
       identity,
       backendServer: host,
-      backend,
+      backend: gateBackend(backend, endpoint.gate),
       linkKeys: LINK_KEYS,
       nonce: () => this.nonce(),
       log,
     });
-    this.network.listen(host, endpoint, (peer) => task.accept(peer));
-    this.#watchSet(clock, log, task);
+    this.network.listen(address, endpoint, (peer) => task.accept(peer));
+    this.#watchSet(endpoint, log, task);
     task.start();
     return this.#process(endpoint, identity, task);
   }
@@ -195,9 +205,10 @@
     return (event, fields = {}) => this.#options.onLog?.(this.clock.now(), host, event, fields);
   }
 
-  #watchSet(clock: Clock, log: Log, task: EntryTask | SidecarTask): void {
+  #watchSet({ gate }: Endpoint, log: Log, task: EntryTask | SidecarTask): void {
     const onSet = task.applySet.bind(task);
-    new SetTask({ clock, configuration: this.configuration, log, onSet }).start();
+    const configuration = gateConfiguration(this.configuration, gate);
+    new SetTask({ clock: gate.clock, configuration, log, onSet }).start();
   }
 
   #process<T extends EntryTask | SidecarTask>(
