--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,6 +1,7 @@
 import { Builtins, Cli } from 'clipanion';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
+import { ScenarioRunCommand } from './scenarioRunCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
 import { SetPackCommand } from './setPackCommand.ts';
 import { SettingsCheckCommand } from './settingsCheckCommand.ts';
@@ -19,6 +20,7 @@
   Builtins.VersionCommand,
   DemoCommand,
   EntryCommand,
+  ScenarioRunCommand,
   SetCheckCommand,
   SetPackCommand,
   SettingsCheckCommand,
--- /dev/null
+++ b/cli/scenarioRunCommand.ts
@@ -0,0 +1,63 @@
+import { readFileSync, writeFileSync } from 'node:fs';
+import { Command, Option } from 'clipanion';
+import { goldenFile, runScenario, ScenarioError } from '../scenario/mod.ts';
+
+const WRONG_USE = 2;
+
+function readGolden(file: string): string | undefined {
+  try {
+    return readFileSync(goldenFile(file), 'utf8');
+  } catch {
+    return undefined;
+  }
+}
+
+/** `hyssopspread scenario run`. */
+export class ScenarioRunCommand extends Command {
+  static override paths = [['scenario', 'run']];
+
+  static override usage = Command.Usage({
+    description: 'Runs scripted scenarios on a virtual clock and checks every promise in them.',
+    details: 'Compares each session with the golden session beside its scenario.',
+    examples: [
+      ['Run a scenario', '$0 scenario run scenarios/silent-link.scenario'],
+      ['Accept a changed session', '$0 scenario run --update scenarios/silent-link.scenario'],
+    ],
+  });
+
+  readonly update = Option.Boolean('--update', false, { description: 'Rewrites golden sessions' });
+
+  readonly journal = Option.Boolean('--journal', false, { description: 'Prints the sessions' });
+
+  readonly files = Option.Rest({ required: 1 });
+
+  async execute(): Promise<number> {
+    let failed = 0;
+    for (const file of this.files) {
+      try {
+        if (!(await this.#run(file))) failed += 1;
+      } catch (error) {
+        const isExplained = error instanceof ScenarioError || (error as { code?: string }).code;
+        if (!isExplained) throw error;
+        this.context.stderr.write(`${(error as Error).message}\n`);
+        return WRONG_USE;
+      }
+    }
+    this.context.stdout.write(`${this.files.length - failed} kept, ${failed} failed\n`);
+    return failed === 0 ? 0 : 1;
+  }
+
+  async #run(file: string): Promise<boolean> {
+    const report = await runScenario(file, readFileSync(file, 'utf8'));
+    const session = `${report.journal.join('\n')}\n`;
+    if (this.journal) this.context.stdout.write(session);
+    const isSame = this.update || readGolden(file) === session;
+    if (this.update && report.failures.length === 0) writeFileSync(goldenFile(file), session);
+    const failures = isSame
+      ? report.failures
+      : [...report.failures, `the session differs from ${goldenFile(file)}`];
+    this.context.stdout.write(`${failures.length === 0 ? 'kept' : 'FAILED'} ${file}\n`);
+    failures.forEach((failure) => this.context.stdout.write(`  ${failure}\n`));
+    return failures.length === 0;
+  }
+}
--- a/scenario/world/processGate.ts
+++ b/scenario/world/processGate.ts
@@ -21,6 +21,11 @@
     return this.#dead;
   }
 
+  /** Whether the process is paused. */
+  get paused(): boolean {
+    return this.#paused;
+  }
+
   /** The clock as the process sees it: calls wait while it is paused. */
   readonly clock: Clock = {
     now: () => this.#clock.now(),
@@ -77,7 +82,7 @@
     return new Promise((resolve, reject) => {
       promise.then(
         (value) => this.run(() => resolve(value)),
-        (error: unknown) => this.run(() => reject(error as Error)),
+        (error: unknown) => this.run(() => reject(new Error(String(error)))),
       );
     });
   }
