Add bench capacity and the first page of capacity

Slopes come from the product's own state machines and codec on one machine that was busy with other work; the page is written from the recorded run and a test compares them.

--- /dev/null
+++ b/bench/capacity/formatCapacityPage.test.ts
@@ -0,0 +1,38 @@
+import { readFileSync } from 'node:fs';
+import { expect } from 'chai';
+import { fitLine, formatCapacityPage } from './mod.ts';
+import type { CapacityRecord } from './mod.ts';
+
+describe('fitLine', () => {
+  it('finds the line that points lie on', () => {
+    const label = { name: 'n', unit: 'byte', per: 'item' };
+    const line = fitLine(label, [
+      { x: 1, y: 5 },
+      { x: 2, y: 7 },
+      { x: 4, y: 11 },
+    ]);
+    expect(line.slope).to.be.closeTo(2, 1e-9);
+    expect(line.intercept).to.be.closeTo(3, 1e-9);
+    expect(line.residual).to.be.closeTo(0, 1e-9);
+  });
+});
+
+describe('formatCapacityPage', () => {
+  const text = readFileSync('docs/capacity.json', 'utf8');
+  const record = JSON.parse(text) as CapacityRecord;
+
+  it('gives the committed page from the recorded run', () => {
+    expect(formatCapacityPage(record)).to.equal(readFileSync('docs/CAPACITY.md', 'utf8'));
+  });
+
+  it('records lines that follow from their points', () => {
+    record.slopes.forEach((slope) => {
+      const { slope: measured, intercept, residual } = fitLine(slope, slope.points);
+      expect([measured, intercept, residual]).to.deep.equal([
+        slope.slope,
+        slope.intercept,
+        slope.residual,
+      ]);
+    });
+  });
+});
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,4 +1,5 @@
 import { Builtins, Cli } from 'clipanion';
+import { BenchCapacityCommand } from './benchCapacityCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
@@ -17,6 +18,7 @@
 [
   Builtins.HelpCommand,
   Builtins.VersionCommand,
+  BenchCapacityCommand,
   DemoCommand,
   EntryCommand,
   SetCheckCommand,
