Move the choice of a host out of the entry's task

Cause: the choice grows with the route cost, and the task already holds the life of requests. No change of behaviour; the tests pass as before.

--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -5,7 +5,6 @@
 import type { ListedHost, MembershipChange } from '../../core/membership/mod.ts';
 import { failed, isRetryable, notRun, unknown } from '../../core/outcome/mod.ts';
 import type { NotRun, Outcome } from '../../core/outcome/mod.ts';
-import { chooseBackendServer } from '../../core/placement/mod.ts';
 import type { PublishedSet } from '../../core/set/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { dispatch } from '../_handlers.ts';
@@ -15,6 +14,7 @@
 import { checkWhole, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestFacts } from './_openRequest.ts';
 import { planCall } from './_planCall.ts';
+import { chooseHost } from './_router.ts';
 import { LinkTask } from './linkTask.ts';
 import type { LinkNews, LinkStatus } from './linkTask.ts';
 import type { Submission, SubmissionEvent } from './request.ts';
@@ -281,33 +281,12 @@
   }
 
   #chooseHost(request: OpenRequest): string | undefined {
-    const { destination } = request;
-    const usable = [...this.#statuses.values()].filter(
-      (status) =>
-        status.health === 'ready' &&
-        !request.tried.has(status.host) &&
-        (destination.kind === 'host'
-          ? status.host === destination.host
-          : this.#membership.mayTakeWork(status.host, status.incarnation)),
-    );
-    if (destination.kind === 'host') return usable[0]?.host;
-    if (destination.kind === 'service') {
-      return usable.find((status) => this.#serves(status, 'service', destination.service))?.host;
-    }
-    const candidates = usable
-      .filter((status) => this.#serves(status, 'pool', destination.pool))
-      .map(({ host, report }) => ({
-        host,
-        running: report.running,
-        waiting: report.waiting,
-        batchWidth: report.batchWidth,
-        isResident: report.resident.includes(destination.adapterVersion),
-      }));
-    return chooseBackendServer(destination.adapterVersion, candidates)?.host;
-  }
-
-  #serves(status: LinkStatus, key: 'pool' | 'service', name: string): boolean {
-    return this.#set?.backendServers.get(status.report.backendServer)?.[key] === name;
+    const view = {
+      set: this.#set,
+      membership: this.#membership,
+      statuses: this.#statuses.values(),
+    };
+    return chooseHost(view, request);
   }
 
   #noteEvent(exchange: ExchangeName, event: ExchangeEvent): void {
