Measure routing and residence on a virtual clock

Cause: no figure said whether the decisions are better than plain ones. bench policy drives Residence, chooseBackendServer, EngineModel and WeightStore directly; the full tasks were ruled out because a link frame for each token costs more than the decision.

--- /dev/null
+++ b/bench/policy/mod.ts
@@ -0,0 +1,7 @@
+/** Measures routing and residence on a virtual clock. @module */
+export { CASES } from './cases.ts';
+export { CONTENDERS } from './contenders.ts';
+export { DEPLOYMENTS } from './deployment.ts';
+export { CLAIRVOYANT, POLICIES, runPolicyBench } from './runPolicyBench.ts';
+export type { PolicyBenchOptions, PolicyRow } from './runPolicyBench.ts';
+export { simulatePolicy } from './simulatePolicy.ts';
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,4 +1,5 @@
 import { Builtins, Cli } from 'clipanion';
+import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
@@ -17,6 +18,7 @@
 [
   Builtins.HelpCommand,
   Builtins.VersionCommand,
+  BenchPolicyCommand,
   DemoCommand,
   EntryCommand,
   SetCheckCommand,
--- a/standins/engineModel.ts
+++ b/standins/engineModel.ts
@@ -26,6 +26,8 @@
   readonly fullSpeedInFlight?: number;
   /** Refuses orders with an old fencing number. @default true */
   readonly honoursFencing?: boolean;
+  /** Returns one token of an answer. @default answerToken */
+  readonly answer?: typeof answerToken;
 };
 
 type Sequence = {
@@ -77,6 +79,7 @@
       stepMsPerSequence: 0.5,
       fullSpeedInFlight: 16,
       honoursFencing: true,
+      answer: answerToken,
       ...options,
     };
   }
@@ -213,7 +216,7 @@
     const { call, servedBy } = sequence;
     const index = sequence.next;
     if (index === call.resumeFrom) sequence.listener?.({ kind: 'started', servedBy });
-    const text = answerToken(servedBy, call.prompt, index);
+    const text = this.#options.answer(servedBy, call.prompt, index);
     sequence.next += 1;
     sequence.listener?.({ kind: 'chunk', text, tokens: 1 });
     if (sequence.next < call.maxTokens) return;
--- a/standins/weightStore.ts
+++ b/standins/weightStore.ts
@@ -23,6 +23,10 @@
 
   #failures = 0;
 
+  #failurePeriod = 0;
+
+  #ended = 0;
+
   #slowdown = 1;
 
   constructor(options: WeightStoreOptions) {
@@ -39,6 +43,11 @@
     this.#failures = count;
   }
 
+  /** Lets every load whose number is a multiple of `period` fail; 0 lets none fail. */
+  failEvery(period: number): void {
+    this.#failurePeriod = period;
+  }
+
   /** Multiplies the time of each load. */
   slowDown(factor: number): void {
     this.#slowdown = factor;
@@ -58,6 +67,8 @@
     this.#loading += 1;
     await this.#wait(this.#duration() * slowness);
     this.#loading -= 1;
+    this.#ended += 1;
+    if (this.#failurePeriod > 0 && this.#ended % this.#failurePeriod === 0) return false;
     if (this.#failures > 0) {
       this.#failures -= 1;
       return false;
