--- a/bench/policy/simulatePolicy.ts
+++ b/bench/policy/simulatePolicy.ts
@@ -3,6 +3,7 @@
 import { EngineModel, WeightStore } from '../../standins/mod.ts';
 import { USUAL_OFFERED } from './cases.ts';
 import type { PolicyCase } from './cases.ts';
+import { RATES } from './contenders.ts';
 import type { Contender } from './contenders.ts';
 import type { Deployment } from './deployment.ts';
 import { MeasureRecorder } from './measures.ts';
@@ -84,7 +85,7 @@
 
   #createServer(index: number): SimulatedServer {
     const { deployment, policyCase, contender } = this.#run;
-    const { slots, batchWidth, fullSpeedInFlight, loadsPerSecond, engines } = deployment;
+    const { slots, batchWidth, fullSpeedInFlight } = deployment;
     const { stepFactors = [1] } = policyCase;
     const factor = stepFactors[index % stepFactors.length] ?? 1;
     const engine = new EngineModel({
@@ -97,13 +98,13 @@
       stepMsPerSequence: 0.5 * factor,
       answer: () => '',
     });
-    const share = { loadsAtOnce: 1, loadsPerSecond: loadsPerSecond / engines };
+    const loadRate = RATES[contender.rate](deployment);
     return new SimulatedServer({
       clock: this.#clock,
       name: `e${index}`,
       availabilityZone: index % deployment.availabilityZones,
       engine,
-      residence: { slots, batchWidth, ...share, ...contender.residence },
+      residence: { slots, batchWidth, loadRate, ...contender.residence },
       onLoad: (isWasted) => this.#noteLoad(isWasted),
     });
   }
--- a/core/clock/virtualClock.ts
+++ b/core/clock/virtualClock.ts
@@ -1,5 +1,16 @@
+import { Heap } from '../collections/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from './clock.ts';
-import { TimerHeap } from './_timerHeap.ts';
+
+/** A call that waits for its time. */
+type Timer = {
+  readonly due: Milliseconds;
+  readonly order: number;
+  readonly run: () => void;
+};
+
+function isEarlier(a: Timer, b: Timer): boolean {
+  return a.due < b.due || (a.due === b.due && a.order < b.order);
+}
 
 /** A clock whose time moves only when its owner moves it. */
 export type VirtualClock = Clock & {
@@ -25,7 +36,7 @@
  * ```
  */
 export function createVirtualClock(): VirtualClock {
-  const heap = new TimerHeap();
+  const heap = new Heap<Timer>(isEarlier);
   const cancelled = new Set<number>();
   let time: Milliseconds = 0;
   let scheduled = 0;
--- /dev/null
+++ b/core/collections/mod.ts
@@ -0,0 +1,2 @@
+/** Collections that the language does not have. @module */
+export { Heap } from './heap.ts';
--- a/core/residence/residence.ts
+++ b/core/residence/residence.ts
@@ -2,6 +2,11 @@
 import type { AdapterVersion } from '../identity/mod.ts';
 import { notRun } from '../outcome/mod.ts';
 import type { NotRun } from '../outcome/mod.ts';
+import { createStaticRate } from './loadRate.ts';
+import type { LoadRate } from './loadRate.ts';
+import { Popularity } from './_popularity.ts';
+import { RequestQueues } from './_requestQueues.ts';
+import type { Waiting } from './_requestQueues.ts';
 
 /** Names a request within one residence. */
 export type RequestName = string;
@@ -44,14 +49,16 @@
   readonly batchWidth: number;
   /** Loads under way at a time. @default 1 */
   readonly loadsAtOnce?: number;
-  /** Loads that may start each second. @default 4 */
-  readonly loadsPerSecond?: number;
+  /** When loads may start. @default four loads a second */
+  readonly loadRate?: LoadRate;
+  /** What is unloaded first. @default 'frequency' */
+  readonly eviction?: 'recency' | 'frequency';
+  /** Time for which a loaded adapter version stays. @default 500 */
+  readonly minResidenceMs?: Milliseconds;
   /** Failed loads after which waiting requests are refused. @default 2 */
   readonly loadAttempts?: number;
 };
 
-type Waiting = ResidenceRequest & { readonly since: Milliseconds; wasResident: boolean };
-
 type Slot = {
   state: 'loading' | 'resident' | 'unloading';
   pins: number;
@@ -59,6 +66,10 @@
   residentAt: Milliseconds;
 };
 
+const DEFAULT_LOADS_PER_SECOND = 4;
+
+const POPULARITY_HALF_LIFE_MS: Milliseconds = 20_000;
+
 /**
  * Decides which adapter versions one engine holds and which requests it starts.
  *
@@ -69,7 +80,9 @@
 
   readonly #slots = new Map<AdapterVersion, Slot>();
 
-  readonly #queues = new Map<AdapterVersion, Waiting[]>();
+  readonly #queues = new RequestQueues();
+
+  readonly #popularity = new Popularity(POPULARITY_HALF_LIFE_MS);
 
   readonly #running = new Map<RequestName, AdapterVersion>();
 
@@ -77,7 +90,7 @@
 
   #batchWidth: number;
 
-  #nextLoadAt: Milliseconds = 0;
+  readonly #loadStartedAt = new Map<AdapterVersion, Milliseconds>();
 
   /** Whether the engine's state is not known since an order's reply was lost. */
   #uncertain = true;
@@ -85,7 +98,14 @@
   #actions: ResidenceAction[] = [];
 
   constructor(options: ResidenceOptions) {
-    this.#options = { loadsAtOnce: 1, loadsPerSecond: 4, loadAttempts: 2, ...options };
+    this.#options = {
+      loadsAtOnce: 1,
+      loadRate: createStaticRate(DEFAULT_LOADS_PER_SECOND),
+      loadAttempts: 2,
+      eviction: 'frequency',
+      minResidenceMs: 500,
+      ...options,
+    };
     this.#batchWidth = options.batchWidth;
   }
 
@@ -96,9 +116,7 @@
 
   /** Requests that wait here. */
   get waiting(): number {
-    let waiting = 0;
-    for (const queue of this.#queues.values()) waiting += queue.length;
-    return waiting;
+    return this.#queues.size;
   }
 
   /** Adapter versions that the engine holds. */
@@ -106,26 +124,27 @@
     return [...this.#slots].filter(([, slot]) => slot.state === 'resident').map(([name]) => name);
   }
 
+  /** Adapter versions that are being loaded or that requests wait for, at most `limit`. */
+  wanted(limit: number): readonly AdapterVersion[] {
+    const wanted = [...this.#loadStartedAt.keys()];
+    for (const adapterVersion of this.#queues.adapterVersions) {
+      if (wanted.length >= limit) break;
+      if (!this.#slots.has(adapterVersion)) wanted.push(adapterVersion);
+    }
+    return wanted;
+  }
+
   /** Adds a request. */
   enqueue(request: ResidenceRequest, now: Milliseconds): readonly ResidenceAction[] {
-    const queue = this.#queues.get(request.adapterVersion) ?? [];
     const wasResident = this.#slots.get(request.adapterVersion)?.state === 'resident';
-    queue.push({ ...request, since: now, wasResident });
-    this.#queues.set(request.adapterVersion, queue);
+    this.#popularity.note(request.adapterVersion, now);
+    this.#queues.push({ ...request, since: now, wasResident, isGone: false });
     return this.#plan(now);
   }
 
   /** Removes a waiting request; returns whether it was waiting. */
   withdraw(name: RequestName): boolean {
-    for (const [adapterVersion, queue] of this.#queues) {
-      const index = queue.findIndex((waiting) => waiting.name === name);
-      if (index !== -1) {
-        queue.splice(index, 1);
-        if (queue.length === 0) this.#queues.delete(adapterVersion);
-        return true;
-      }
-    }
-    return false;
+    return this.#queues.remove(name);
   }
 
   /** Tells that a started request has ended at the engine. */
@@ -147,6 +166,7 @@
     result: OrderResult,
     now: Milliseconds,
   ): readonly ResidenceAction[] {
+    if (order.kind === 'load') this.#noteLoadTime(order.adapterVersion, result, now);
     if (result === 'lost') {
       this.#uncertain = true;
       this.#actions.push({ kind: 'inspect' });
@@ -161,7 +181,7 @@
   inspected(resident: readonly AdapterVersion[], now: Milliseconds): readonly ResidenceAction[] {
     const held = new Set(resident);
     for (const [adapterVersion, slot] of this.#slots) {
-      if (!held.has(adapterVersion) && slot.pins === 0) this.#slots.delete(adapterVersion);
+      if (!held.has(adapterVersion) && slot.pins === 0) this.#dropSlot(adapterVersion);
     }
     for (const adapterVersion of held) {
       const slot = this.#slots.get(adapterVersion);
@@ -197,13 +217,26 @@
     this.#slots.set(adapterVersion, { state, pins: 0, usedAt: now, residentAt: now });
   }
 
+  #dropSlot(adapterVersion: AdapterVersion): void {
+    this.#slots.delete(adapterVersion);
+    this.#queues.rerank(adapterVersion);
+  }
+
+  #noteLoadTime(adapterVersion: AdapterVersion, result: OrderResult, now: Milliseconds): void {
+    const startedAt = this.#loadStartedAt.get(adapterVersion);
+    this.#loadStartedAt.delete(adapterVersion);
+    if (startedAt !== undefined && result === 'obeyed') {
+      this.#options.loadRate.ended(now - startedAt);
+    }
+  }
+
   #loaded(adapterVersion: AdapterVersion, result: OrderResult, now: Milliseconds): void {
     if (result === 'obeyed') {
       this.#loadFailures.delete(adapterVersion);
       this.#hold(adapterVersion, 'resident', now);
       return;
     }
-    this.#slots.delete(adapterVersion);
+    this.#dropSlot(adapterVersion);
     const failures = (this.#loadFailures.get(adapterVersion) ?? 0) + 1;
     this.#loadFailures.set(adapterVersion, failures);
     if (failures < this.#options.loadAttempts) return;
@@ -213,7 +246,7 @@
 
   #unloaded(adapterVersion: AdapterVersion, result: OrderResult): void {
     if (result === 'obeyed') {
-      this.#slots.delete(adapterVersion);
+      this.#dropSlot(adapterVersion);
       return;
     }
     const slot = this.#slots.get(adapterVersion);
@@ -222,10 +255,11 @@
 
   #refuseQueue(adapterVersion: AdapterVersion): void {
     const outcome = notRun('load-failed', `${adapterVersion} could not be loaded; ask again`, 1000);
-    for (const { name } of this.#queues.get(adapterVersion) ?? []) {
-      this.#actions.push({ kind: 'refuse', request: name, outcome });
+    for (;;) {
+      const waiting = this.#queues.shift(adapterVersion);
+      if (waiting === undefined) return;
+      this.#actions.push({ kind: 'refuse', request: waiting.name, outcome });
     }
-    this.#queues.delete(adapterVersion);
   }
 
   #plan(now: Milliseconds): readonly ResidenceAction[] {
@@ -236,29 +270,32 @@
   }
 
   #refuseLate(now: Milliseconds): void {
-    for (const [adapterVersion, queue] of this.#queues) {
-      const kept = queue.filter((waiting) => waiting.deadline > now);
-      if (kept.length === queue.length) continue;
-      for (const { name, deadline } of queue) {
-        if (deadline <= now) {
-          const outcome = notRun('deadline', 'the deadline passed in the queue; ask again', 500);
-          this.#actions.push({ kind: 'refuse', request: name, outcome });
-        }
-      }
-      if (kept.length === 0) this.#queues.delete(adapterVersion);
-      else this.#queues.set(adapterVersion, kept);
+    for (;;) {
+      const late = this.#queues.shiftLate(now);
+      if (late === undefined) return;
+      const outcome = notRun('deadline', 'the deadline passed in the queue; ask again', 500);
+      this.#actions.push({ kind: 'refuse', request: late.name, outcome });
     }
   }
 
   #startResident(now: Milliseconds): void {
-    for (const [adapterVersion, queue] of this.#queues) {
-      const slot = this.#slots.get(adapterVersion);
-      if (slot?.state !== 'resident') continue;
-      while (queue.length > 0 && this.#running.size < this.#batchWidth) {
-        this.#start(queue.shift()!, slot, now);
+    while (this.#running.size < this.#batchWidth) {
+      const next = this.#oldestStartable();
+      if (next === undefined) return;
+      this.#queues.remove(next.name);
+      this.#start(next, this.#slots.get(next.adapterVersion)!, now);
+    }
+  }
+
+  #oldestStartable(): Waiting | undefined {
+    let oldest: Waiting | undefined;
+    for (const [adapterVersion, slot] of this.#slots) {
+      const first = slot.state === 'resident' ? this.#queues.peek(adapterVersion) : undefined;
+      if (first !== undefined && (oldest === undefined || first.since < oldest.since)) {
+        oldest = first;
       }
-      if (queue.length === 0) this.#queues.delete(adapterVersion);
     }
+    return oldest;
   }
 
   #start(waiting: Waiting, slot: Slot, now: Milliseconds): void {
@@ -276,19 +313,24 @@
   }
 
   #makeResident(now: Milliseconds): void {
-    const states = [...this.#slots.values()].map((slot) => slot.state);
-    const loading = states.filter((state) => state === 'loading').length;
-    if (loading >= this.#options.loadsAtOnce || now < this.#nextLoadAt) return;
-    const wanted = this.#oldestWaiting();
+    const { loadsAtOnce, loadRate, slots } = this.#options;
+    if (this.#queues.size === 0 || this.#loadStartedAt.size >= loadsAtOnce) return;
+    if (!loadRate.mayStart(now)) return;
+    const wanted = this.#queues.mostWanted((adapterVersion) => this.#slots.has(adapterVersion));
     if (wanted === undefined) return;
-    if (this.#slots.size < this.#options.slots) {
-      this.#nextLoadAt = now + 1000 / this.#options.loadsPerSecond;
+    if (this.#slots.size < slots) {
+      loadRate.started(now);
+      this.#loadStartedAt.set(wanted, now);
       this.#hold(wanted, 'loading', now);
       this.#order({ kind: 'load', adapterVersion: wanted });
       return;
     }
-    if (states.includes('unloading')) return;
-    const victim = this.#leastRecentlyUsed();
+    this.#unloadOne(now);
+  }
+
+  #unloadOne(now: Milliseconds): void {
+    for (const { state } of this.#slots.values()) if (state === 'unloading') return;
+    const victim = this.#leastValuable(now);
     if (victim === undefined) return;
     this.#slots.get(victim)!.state = 'unloading';
     this.#order({ kind: 'unload', adapterVersion: victim });
@@ -298,24 +340,19 @@
     this.#actions.push({ kind: 'order', order });
   }
 
-  #oldestWaiting(): AdapterVersion | undefined {
-    let oldest: Waiting | undefined;
-    for (const [adapterVersion, queue] of this.#queues) {
-      const first = queue[0];
-      if (first === undefined || this.#slots.has(adapterVersion)) continue;
-      if (oldest === undefined || first.since < oldest.since) oldest = first;
-    }
-    return oldest?.adapterVersion;
-  }
-
-  #leastRecentlyUsed(): AdapterVersion | undefined {
-    let found: { readonly name: AdapterVersion; readonly usedAt: Milliseconds } | undefined;
+  #leastValuable(now: Milliseconds): AdapterVersion | undefined {
+    const { eviction, minResidenceMs } = this.#options;
+    let victim: AdapterVersion | undefined;
+    let least = Infinity;
     for (const [name, slot] of this.#slots) {
       const isFree = slot.state === 'resident' && slot.pins === 0 && !this.#queues.has(name);
-      if (isFree && (found === undefined || slot.usedAt < found.usedAt)) {
-        found = { name, usedAt: slot.usedAt };
+      if (!isFree || now - slot.residentAt < minResidenceMs) continue;
+      const value = eviction === 'recency' ? slot.usedAt : this.#popularity.of(name, now);
+      if (value < least) {
+        least = value;
+        victim = name;
       }
     }
-    return found?.name;
+    return victim;
   }
 }
--- a/tasks/sidecar/engineRunner.ts
+++ b/tasks/sidecar/engineRunner.ts
@@ -6,7 +6,12 @@
 import { DONE, failed, notRun, unknown } from '../../core/outcome/mod.ts';
 import type { Outcome } from '../../core/outcome/mod.ts';
 import { Residence } from '../../core/residence/mod.ts';
-import type { OrderResult, ResidenceAction, ResidenceOrder } from '../../core/residence/mod.ts';
+import type {
+  LoadRate,
+  OrderResult,
+  ResidenceAction,
+  ResidenceOrder,
+} from '../../core/residence/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { dispatch } from '../_handlers.ts';
 import type { Handlers } from '../_handlers.ts';
@@ -30,7 +35,7 @@
   readonly log: Log;
   /** Adapters that the engine may hold. */
   readonly slots: number;
-  readonly loadsPerSecond: number;
+  readonly loadRate: LoadRate;
   readonly loadsAtOnce: number;
   /** Puts a message into the sidecar's mailbox. */
   readonly post: (message: EngineMessage) => void;
@@ -86,8 +91,8 @@
     this.#options = options;
     this.#lastTick = options.clock.now();
     this.#lastInspection = options.clock.now();
-    const { slots, loadsPerSecond, loadsAtOnce } = options;
-    this.#residence = new Residence({ slots, loadsPerSecond, loadsAtOnce, batchWidth: 1 });
+    const { slots, loadRate, loadsAtOnce } = options;
+    this.#residence = new Residence({ slots, loadRate, loadsAtOnce, batchWidth: 1 });
   }
 
   /** What load reports say of the engine. */
