Route by expected cost among holders and two preferred servers

RouteTable keeps who holds what by report and by the entry's own open requests, and compares load stall, queue, batch loss, distance and disagreement.

--- a/bench/policy/contenders.ts
+++ b/bench/policy/contenders.ts
@@ -1,14 +1,17 @@
 import { createAdaptiveRate, createStaticRate } from '../../core/residence/mod.ts';
 import type { LoadRate, ResidenceOptions } from '../../core/residence/mod.ts';
+import type { RouteTableOptions } from '../../core/placement/mod.ts';
 import type { Deployment } from './deployment.ts';
-import type { RouteKind } from './routes.ts';
+import type { BaselineRoute } from './routes.ts';
+import type { PoolPolicy } from '../../core/set/mod.ts';
+import type { Route } from './simulatedEntry.ts';
 
 /** How the servers share the store's rate. */
 export type RateKind = 'static' | 'adaptive';
 
 /** How one contender decides. */
 export type Contender = {
-  readonly route: RouteKind;
+  readonly route: (policy: PoolPolicy) => Route;
   readonly rate: RateKind;
   readonly residence: Pick<ResidenceOptions, 'eviction' | 'minResidenceMs'>;
 };
@@ -23,19 +26,27 @@
     }),
 };
 
-const PLAIN = {
-  rate: 'static',
-  residence: { eviction: 'recency', minResidenceMs: 0 },
-} as const;
+function baseline(name: BaselineRoute): Contender {
+  return {
+    route: () => ({ kind: 'baseline', name }),
+    rate: 'static',
+    residence: { eviction: 'recency', minResidenceMs: 0 },
+  };
+}
 
-const PRODUCT = { route: 'product', rate: 'adaptive', residence: {} } as const;
+function table(options: Omit<RouteTableOptions, 'policy'> = {}): Contender['route'] {
+  return (policy) => ({ kind: 'table', options: { policy, ...options } });
+}
+
+const PRODUCT: Contender = { route: table(), rate: 'adaptive', residence: {} };
 
 /** The contenders by name; the clairvoyant bound is not simulated and stands apart. */
 export const CONTENDERS: Readonly<Record<string, Contender>> = {
-  random: { ...PLAIN, route: 'random' },
-  'least-loaded': { ...PLAIN, route: 'least-loaded' },
-  rendezvous: { ...PLAIN, route: 'rendezvous' },
+  random: baseline('random'),
+  'least-loaded': baseline('least-loaded'),
+  rendezvous: baseline('rendezvous'),
   product: PRODUCT,
+  'full-scan': { ...PRODUCT, route: table({ search: 'full-scan' }) },
   'static-rate': { ...PRODUCT, rate: 'static' },
   'recency-eviction': { ...PRODUCT, residence: { eviction: 'recency' } },
   'no-min-residence': { ...PRODUCT, residence: { minResidenceMs: 0 } },
--- a/core/placement/mod.ts
+++ b/core/placement/mod.ts
@@ -1,4 +1,6 @@
 /** Where requests go. @module */
 export { chooseBackendServer } from './chooseBackendServer.ts';
-export type { Candidate } from './chooseBackendServer.ts';
 export { hashText, rendezvousOrder } from './rendezvousOrder.ts';
+export { RouteTable } from './routeTable.ts';
+export type { RouteTableOptions, ServerReport } from './routeTable.ts';
+export type { RouteWeights } from './routeCost.ts';
--- a/core/residence/residence.ts
+++ b/core/residence/residence.ts
@@ -124,6 +124,16 @@
     return [...this.#slots].filter(([, slot]) => slot.state === 'resident').map(([name]) => name);
   }
 
+  /** Slots that are empty or whose adapter version no request needs. */
+  get freeSlots(): number {
+    let used = 0;
+    for (const [name, slot] of this.#slots) {
+      const isNeeded = slot.state === 'loading' || slot.pins > 0 || this.#queues.has(name);
+      if (isNeeded) used += 1;
+    }
+    return Math.max(0, this.#options.slots - used);
+  }
+
   /** Adapter versions that are being loaded or that requests wait for, at most `limit`. */
   wanted(limit: number): readonly AdapterVersion[] {
     const wanted = [...this.#loadStartedAt.keys()];
