--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,5 +1,6 @@
 import { Builtins, Cli } from 'clipanion';
 import { BenchCapacityCommand } from './benchCapacityCommand.ts';
+import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
 import { ScenarioRunCommand } from './scenarioRunCommand.ts';
@@ -20,6 +21,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   BenchCapacityCommand,
+  BenchPolicyCommand,
   DemoCommand,
   EntryCommand,
   ScenarioRunCommand,
