Count service-level burn per objective at each entry

Ruled out: wall-clock windows (a clock step would move counts) and a histogram per window in memory (ended windows are kept encoded).

--- /dev/null
+++ b/core/burn/burnRecorder.ts
@@ -0,0 +1,189 @@
+import { build, encodeIntoCompressedBase64 } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import type { Milliseconds } from '../clock/mod.ts';
+import type { Identity } from '../link/mod.ts';
+import type { Objective } from '../set/mod.ts';
+import { causeOf } from './sample.ts';
+import type { RequestSample } from './sample.ts';
+import { SNAPSHOT_VERSION } from './snapshot.ts';
+import type { BurnCount, BurnHistogram, BurnSlot, BurnSnapshot } from './snapshot.ts';
+
+/** How to build a `BurnRecorder`. */
+export type BurnRecorderOptions = {
+  readonly identity: Identity;
+  /** When the process started. */
+  readonly startedAt: Milliseconds;
+  /** Length of one short window. @default 60000 */
+  readonly slotMs?: Milliseconds;
+  /** Short windows that are kept. @default 360 */
+  readonly slots?: number;
+  /** Different counts kept in one short window. @default 256 */
+  readonly countsPerSlot?: number;
+};
+
+/** Where counts go that would be too many to keep apart. */
+export const OTHERS = '(others)';
+
+type Count = { -readonly [K in keyof BurnCount]: BurnCount[K] };
+
+type Measure = BurnHistogram['measure'];
+
+type Slot = {
+  readonly beganAt: Milliseconds;
+  readonly counts: Map<string, Count>;
+  readonly histograms: Map<string, Histogram>;
+  /** Set once the slot has ended. */
+  encoded: readonly BurnHistogram[] | undefined;
+};
+
+const MEASURES = [
+  ['firstToken', 'firstTokenMs'],
+  ['loadStall', 'loadStallMs'],
+  ['betweenTokens', 'betweenTokensMs'],
+] as const;
+
+/** Steps of a recorded time in one millisecond. */
+export const STEPS_PER_MS = 10;
+
+const HIGHEST_MS = 3_600_000;
+
+function createHistogram(): Histogram {
+  return build({ bitBucketSize: 'packed', autoResize: true, numberOfSignificantValueDigits: 2 });
+}
+
+function recordTime(slot: Slot, key: string, value: Milliseconds): void {
+  const histogram = slot.histograms.get(key) ?? createHistogram();
+  slot.histograms.set(key, histogram);
+  const bounded = Math.min(HIGHEST_MS, Math.max(0, value));
+  histogram.recordValue(Math.round(bounded * STEPS_PER_MS));
+}
+
+function encodeSlot(slot: Slot): readonly BurnHistogram[] {
+  return [...slot.histograms].map(([key, histogram]) => {
+    const space = key.indexOf(' ');
+    return {
+      measure: key.slice(0, space) as Measure,
+      objective: key.slice(space + 1),
+      encoded: encodeIntoCompressedBase64(histogram),
+    };
+  });
+}
+
+/** Counts requests against the objectives of their tenants in a ring of short windows. */
+export class BurnRecorder {
+  readonly #options: Required<BurnRecorderOptions>;
+
+  /** Oldest first. */
+  #slots: Slot[] = [];
+
+  #objectives: readonly Objective[] = [];
+
+  #latest: Milliseconds;
+
+  constructor(options: BurnRecorderOptions) {
+    this.#options = { slotMs: 60_000, slots: 360, countsPerSlot: 256, ...options };
+    this.#latest = options.startedAt;
+  }
+
+  /** Takes the objectives of the set in force. */
+  applyObjectives(objectives: readonly Objective[]): void {
+    this.#objectives = objectives;
+  }
+
+  /** Counts one request. */
+  record(sample: RequestSample, now: Milliseconds): void {
+    const slot = this.#slotAt(now);
+    for (const objective of this.#objectives) {
+      if (objective.tenant === sample.tenant) this.#count(slot, objective, sample);
+    }
+  }
+
+  /**
+   * Returns what is known now.
+   *
+   * @param now The time on this process's clock.
+   * @param met Incarnations of other processes that this one has met.
+   */
+  snapshot(now: Milliseconds, met: BurnSnapshot['met'] = []): BurnSnapshot {
+    const { identity, startedAt } = this.#options;
+    const at = this.#advance(now);
+    this.#dropOld(at);
+    return {
+      version: SNAPSHOT_VERSION,
+      host: identity.host,
+      incarnation: identity.incarnation,
+      coveredMs: at - startedAt,
+      objectives: this.#objectives.map(({ name, tenant, target, firstTokenMs }) => ({
+        name,
+        tenant,
+        target,
+        firstTokenMs,
+      })),
+      slots: this.#slots.map((slot) => this.#describe(slot, at)),
+      met: [...met],
+    };
+  }
+
+  #describe(slot: Slot, now: Milliseconds): BurnSlot {
+    return {
+      beganAgeMs: now - slot.beganAt,
+      endedAgeMs: Math.max(0, now - slot.beganAt - this.#options.slotMs),
+      counts: [...slot.counts.values()].map((count) => ({ ...count })),
+      histograms: [...(slot.encoded ?? encodeSlot(slot))],
+    };
+  }
+
+  /** Returns a time that never falls, even when the clock does. */
+  #advance(now: Milliseconds): Milliseconds {
+    this.#latest = Math.max(this.#latest, now);
+    return this.#latest;
+  }
+
+  #slotAt(now: Milliseconds): Slot {
+    const at = this.#advance(now);
+    const { slotMs, startedAt } = this.#options;
+    const beganAt = startedAt + Math.floor((at - startedAt) / slotMs) * slotMs;
+    const last = this.#slots.at(-1);
+    if (last !== undefined && last.beganAt === beganAt) return last;
+    if (last !== undefined) {
+      last.encoded = encodeSlot(last);
+      last.histograms.clear();
+    }
+    const slot: Slot = { beganAt, counts: new Map(), histograms: new Map(), encoded: undefined };
+    this.#slots.push(slot);
+    this.#dropOld(at);
+    return slot;
+  }
+
+  #dropOld(now: Milliseconds): void {
+    const { slots, slotMs } = this.#options;
+    this.#slots = this.#slots.filter((slot) => now - slot.beganAt < slots * slotMs);
+  }
+
+  #count(slot: Slot, objective: Objective, sample: RequestSample): void {
+    const cause = causeOf(sample, objective.firstTokenMs);
+    const burns = cause !== 'good' && cause !== 'caller';
+    const adapter = burns ? sample.adapter : '';
+    const availabilityZone = burns ? sample.availabilityZone : '';
+    const fields = { objective: objective.name, cause, adapter, availabilityZone };
+    this.#countOf(slot, fields).count += 1;
+    for (const [measure, field] of MEASURES) {
+      const value = sample[field];
+      if (value !== undefined) recordTime(slot, `${measure} ${objective.name}`, value);
+    }
+  }
+
+  #countOf(slot: Slot, fields: Omit<BurnCount, 'count'>): Count {
+    const { objective, cause, adapter, availabilityZone } = fields;
+    const key = [objective, cause, adapter, availabilityZone].join(' ');
+    const known = slot.counts.get(key);
+    if (known !== undefined) return known;
+    const isFull = slot.counts.size >= this.#options.countsPerSlot;
+    if (isFull && adapter !== OTHERS && adapter !== '') {
+      return this.#countOf(slot, { ...fields, adapter: OTHERS, availabilityZone: OTHERS });
+    }
+    const count = { ...fields, count: 0 };
+    slot.counts.set(key, count);
+    return count;
+  }
+}
--- a/tasks/entry/_openRequest.ts
+++ b/tasks/entry/_openRequest.ts
@@ -30,12 +30,31 @@
   host: string;
   tokens: number;
   started: boolean;
+  /** Whether the caller closed its connection. */
+  isAbandoned: boolean;
+  readonly times: RequestTimes;
+};
+
+/** When the parts of an answer came. */
+export type RequestTimes = {
+  firstTokenAt: Milliseconds | undefined;
+  lastTokenAt: Milliseconds | undefined;
+  loadStallMs: Milliseconds | undefined;
+  queuedMs: Milliseconds | undefined;
 };
 
 /** What is known of a request when it is accepted. */
 export type RequestFacts = Omit<
   OpenRequest,
-  'hash' | 'tried' | 'cancelDeadline' | 'exchange' | 'host' | 'tokens' | 'started'
+  | 'hash'
+  | 'tried'
+  | 'cancelDeadline'
+  | 'exchange'
+  | 'host'
+  | 'tokens'
+  | 'started'
+  | 'isAbandoned'
+  | 'times'
 >;
 
 /** Creates the record of a request that has not been sent. */
@@ -49,6 +68,13 @@
     host: '',
     tokens: 0,
     started: false,
+    isAbandoned: false,
+    times: {
+      firstTokenAt: undefined,
+      lastTokenAt: undefined,
+      loadStallMs: undefined,
+      queuedMs: undefined,
+    },
   };
 }
 
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -1,3 +1,5 @@
+import { BurnRecorder } from '../../core/burn/mod.ts';
+import type { BurnSnapshot } from '../../core/burn/mod.ts';
 import type { Clock } from '../../core/clock/mod.ts';
 import type { ExchangeName } from '../../core/identity/mod.ts';
 import type { ExchangeEvent, Identity, LinkTiming } from '../../core/link/mod.ts';
@@ -15,6 +17,7 @@
 import { checkWhole, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestFacts } from './_openRequest.ts';
 import { planCall } from './_planCall.ts';
+import { noteToken, requestSample } from './_requestSample.ts';
 import { LinkTask } from './linkTask.ts';
 import type { LinkNews, LinkStatus } from './linkTask.ts';
 import type { Submission, SubmissionEvent } from './request.ts';
@@ -71,6 +74,8 @@
 
   readonly #byExchange = new Map<ExchangeName, OpenRequest>();
 
+  readonly #burn: BurnRecorder;
+
   #set: PublishedSet | undefined;
 
   #exchanges = 0;
@@ -79,6 +84,8 @@
 
   constructor(options: EntryTaskOptions) {
     this.#options = options;
+    const { clock, identity } = options;
+    this.#burn = new BurnRecorder({ identity, startedAt: clock.now() });
     this.#mailbox = new Mailbox<Message>({
       handle: (message) => dispatch(this.#handlers, message),
       onError: (error) => options.log('internalError', { detail: String(error) }),
@@ -129,6 +136,11 @@
     };
   }
 
+  /** Returns what this process knows of service-level burn. */
+  burn(): BurnSnapshot {
+    return this.#burn.snapshot(this.#options.clock.now());
+  }
+
   /** Returns the names that a caller may use as `model`. */
   modelsOf(tokenSha256: string): readonly string[] {
     const set = this.#set;
@@ -162,6 +174,7 @@
   #takeSet(set: PublishedSet): void {
     if (set.generation <= (this.#set?.generation ?? 0)) return;
     this.#set = set;
+    this.#burn.applyObjectives(set.objectives);
     const { generation, digest } = set;
     this.#links.forEach((link) => link.noteSet({ generation, digest }));
   }
@@ -320,6 +333,7 @@
       case 'chunk':
         request.tokens += event.tokens;
         request.hash.update(event.text);
+        noteToken(request, this.#options.clock.now());
         request.submission.onEvent(event);
         return;
       default:
@@ -336,6 +350,8 @@
       return;
     }
     request.started = true;
+    request.times.loadStallMs = event.loadStallMs;
+    request.times.queuedMs = event.queuedMs;
     submission.onEvent({ kind: 'started', servedBy: event.servedBy, host });
   }
 
@@ -357,6 +373,7 @@
     const request = this.#requests.get(name);
     if (request === undefined) return;
     this.#links.get(request.host)?.cancel(request.exchange);
+    request.isAbandoned = true;
     this.#finish(request, failed('cancelled', 'the caller closed the connection'));
   }
 
@@ -379,6 +396,7 @@
     request.cancelDeadline();
     this.#byExchange.delete(request.exchange);
     this.#requests.delete(submission.name);
+    this.#recordBurn(request, outcome);
     const elapsedMs = Math.round(this.#options.clock.now() - request.startedAt);
     const reason = outcome.kind === 'done' ? undefined : outcome.reason;
     const fields = { request: submission.name, host, outcome: outcome.kind, reason, elapsedMs };
@@ -389,6 +407,12 @@
     this.#checkEmpty();
   }
 
+  #recordBurn(request: OpenRequest, outcome: Outcome): void {
+    const availabilityZone = this.#membership.find(request.host)?.availabilityZone ?? '';
+    const sample = requestSample(request, outcome, availabilityZone);
+    this.#burn.record(sample, this.#options.clock.now());
+  }
+
   #checkEmpty(): void {
     if (this.#requests.size === 0) this.#onEmpty?.();
   }
