Fence orders that may be carried out late or by an earlier sender

Cause: a lost unload could be carried out after its adapter was in use again; a new sidecar did not know of streams that its predecessor still ran; a woken predecessor took the engine back. Each claim now leaves a stride of numbers, every lost order raises the number, an adapter of a lost unload is not loaded again for 60 s, unloads wait while the engine runs streams that the process does not follow, and a process that finds a higher number than its own stops sending. Ruled out: repeating the lost order alone, since an engine that ignores the number may still carry the first one out.

--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -128,6 +128,12 @@
     message: 'The engine has restarted and holds no adapters',
     remedy: 'None needed',
   },
+  senderReplaced: {
+    number: 'HS5010',
+    level: 'warn',
+    message: 'Another process sends orders to the engine; this one sends no more',
+    remedy: 'Stop the older of the two sidecars beside the engine',
+  },
   hostListDown: {
     number: 'HS6001',
     level: 'warn',
--- a/tasks/sidecar/engineRunner.ts
+++ b/tasks/sidecar/engineRunner.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto';
 import type { Hash } from 'node:crypto';
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
-import type { ExchangeName, Incarnation } from '../../core/identity/mod.ts';
+import type { ExchangeName } from '../../core/identity/mod.ts';
 import type { CompletionCall, ExchangeEvent } from '../../core/link/mod.ts';
 import { DONE, failed, notRun, unknown } from '../../core/outcome/mod.ts';
 import type { Outcome } from '../../core/outcome/mod.ts';
@@ -16,6 +16,7 @@
 import { dispatch } from '../_handlers.ts';
 import type { Handlers } from '../_handlers.ts';
 import type { Engine, EngineEvent, EngineState, OrderReply } from '../ports/mod.ts';
+import { OrderFence } from './orderFence.ts';
 
 /** Messages that an engine's answers become in the sidecar's mailbox. */
 export type EngineMessage =
@@ -62,6 +63,8 @@
 
 const RETRY_AFTER_MS = 500;
 
+const SUPERSEDED = notRun('leaving', 'this host is being replaced; ask again', RETRY_AFTER_MS);
+
 /** A gap between ticks after which the process takes itself to have been paused. */
 const PAUSE_MS = 2000;
 
@@ -73,9 +76,20 @@
 
   readonly #residence: Residence;
 
-  #engineIncarnation: Incarnation = '';
+  readonly #fence = new OrderFence();
+
+  /** Unloads that wait until the engine runs nothing but this process's streams. */
+  #deferred: ResidenceOrder[] = [];
+
+  /** Orders that repeat a lost unload and of which the residence knows nothing. */
+  readonly #repeats = new Set<ResidenceOrder>();
+
+  /** Whether the engine may run streams that this process does not follow. */
+  #hasForeignStreams = false;
+
+  #superseded = false;
 
-  #fencingNumber = 0;
+  #wokeAt: Milliseconds = 0;
 
   #batchWidth = 1;
 
@@ -106,8 +120,18 @@
     return { running, waiting, resident, batchWidth: this.#batchWidth };
   }
 
+  /** Whether another process has become the engine's sender of orders. */
+  get superseded(): boolean {
+    return this.#superseded;
+  }
+
   /** Runs a completion. */
   run(exchange: ExchangeName, call: CompletionCall, deadline: Milliseconds): void {
+    this.#notePause();
+    if (this.#superseded) {
+      this.#refuse(exchange, SUPERSEDED);
+      return;
+    }
     const now = this.#options.clock.now();
     if (deadline <= now) {
       this.#refuse(exchange, notRun('deadline', 'the request came after its deadline', 0));
@@ -137,12 +161,11 @@
 
   /** Tells that time has passed. */
   tick(): void {
+    this.#notePause();
     const now = this.#options.clock.now();
-    const paused = now - this.#lastTick > PAUSE_MS;
     this.#lastTick = now;
-    if (paused) this.#residence.doubt();
     const { inspectMs = 1000 } = this.#options;
-    if (paused || now - this.#lastInspection >= inspectMs) this.#inspect();
+    if (now - this.#lastInspection >= inspectMs) this.#inspect();
     this.#perform(this.#residence.tick(now));
   }
 
@@ -153,6 +176,7 @@
 
   /** Handles what the engine answered. */
   handle(message: EngineMessage): void {
+    this.#notePause();
     dispatch(this.#handlers, message);
   }
 
@@ -189,24 +213,94 @@
     );
   }
 
+  /** Takes nothing that was known before a pause for true after it. */
+  #notePause(): void {
+    const now = this.#options.clock.now();
+    if (now - this.#lastTick <= PAUSE_MS) return;
+    this.#lastTick = now;
+    this.#wokeAt = now;
+    this.#residence.doubt();
+    this.#inspect();
+  }
+
   #noteState(state: EngineState): void {
     this.#inspecting = false;
-    if (state.incarnation !== this.#engineIncarnation) {
-      if (this.#engineIncarnation !== '') this.#options.log('engineRestarted');
-      this.#engineIncarnation = state.incarnation;
-      this.#fencingNumber = 0;
+    if (this.#superseded) return;
+    if (this.#lastInspection < this.#wokeAt) {
+      this.#inspect();
+      return;
+    }
+    const hadClaimed = this.#fence.hasClaimed;
+    const verdict = this.#fence.judge(state);
+    if (verdict === 'superseded') {
+      this.#supersede();
+      return;
+    }
+    if (verdict === 'claimed') {
+      if (hadClaimed) this.#options.log('engineRestarted');
+      this.#hasForeignStreams = true;
     }
-    if (this.#fencingNumber <= state.fencingNumber) this.#fencingNumber = state.fencingNumber + 1;
     this.#batchWidth = state.batchWidth;
     this.#residence.resize(state.batchWidth);
-    if (this.#ordersInFlight > 0) return;
+    this.#noteStreams(state.running + state.waiting);
+    if (this.#ordersInFlight + this.#deferred.length > 0) return;
+    if (this.#repeatUnloads(state.resident)) return;
     this.#perform(this.#residence.inspected(state.resident, this.#options.clock.now()));
   }
 
+  #noteStreams(streams: number): void {
+    if (streams <= this.#residence.running) this.#hasForeignStreams = false;
+    if (this.#hasForeignStreams) return;
+    const deferred = this.#deferred;
+    this.#deferred = [];
+    deferred.forEach((order) => this.#send(order));
+  }
+
+  /** Unloads what a lost unload has left resident; returns whether there is such. */
+  #repeatUnloads(resident: readonly string[]): boolean {
+    const now = this.#options.clock.now();
+    const left = resident.filter((adapterVersion) => this.#fence.isDoubtful(adapterVersion, now));
+    if (this.#hasForeignStreams) return left.length > 0;
+    left.forEach((adapterVersion) => {
+      const order: ResidenceOrder = { kind: 'unload', adapterVersion };
+      this.#repeats.add(order);
+      this.#send(order);
+    });
+    return left.length > 0;
+  }
+
+  /** Leaves the engine to the process that has taken it over. */
+  #supersede(): void {
+    this.#superseded = true;
+    this.#options.log('senderReplaced');
+    [...this.#streams.keys()]
+      .filter((exchange) => this.#residence.withdraw(exchange))
+      .forEach((exchange) => this.#refuse(exchange, SUPERSEDED));
+  }
+
   #order(order: ResidenceOrder): void {
+    if (this.#superseded) return;
+    const { adapterVersion } = order;
+    if (order.kind === 'unload' && this.#hasForeignStreams) {
+      this.#deferred.push(order);
+      return;
+    }
+    if (
+      order.kind === 'load' &&
+      this.#fence.isDoubtful(adapterVersion, this.#options.clock.now())
+    ) {
+      const detail = `a lost unload of ${adapterVersion} may still be carried out`;
+      this.#ordersInFlight += 1;
+      this.#options.post({ kind: 'order-reply', order, reply: { kind: 'refused', detail } });
+      return;
+    }
+    this.#send(order);
+  }
+
+  #send(order: ResidenceOrder): void {
     this.#ordersInFlight += 1;
     this.#options.engine
-      .order({ ...order, fencingNumber: this.#fencingNumber })
+      .order({ ...order, fencingNumber: this.#fence.take() })
       .then((reply) => this.#options.post({ kind: 'order-reply', order, reply }))
       .catch((error: unknown) => this.#options.log('internalError', { detail: String(error) }));
   }
@@ -216,6 +310,11 @@
     const { kind, adapterVersion } = order;
     this.#options.log('orderEnded', { order: kind, adapterVersion, reply: reply.kind });
     const now = this.#options.clock.now();
+    if (reply.kind === 'lost') this.#fence.noteLost(order, now);
+    if (this.#repeats.delete(order)) {
+      if (reply.kind !== 'refused') this.#inspect();
+      return;
+    }
     this.#perform(this.#residence.ordered(order, ORDER_RESULTS[reply.kind], now));
   }
 
@@ -258,6 +357,7 @@
         this.#end(exchange, stream, notRun('overloaded', detail, RETRY_AFTER_MS)),
       failed: ({ detail }) => this.#end(exchange, stream, failed('backend-error', detail)),
       lost: ({ detail }) => {
+        this.#hasForeignStreams = true;
         this.#end(exchange, stream, unknown('reply-lost', detail));
         this.#residence.doubt();
         this.#inspect();
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -209,7 +209,7 @@
   }
 
   #report(): LoadReport {
-    const leaving = this.#onEmpty !== undefined;
+    const leaving = this.#onEmpty !== undefined || this.#engineRunner?.superseded === true;
     const { backendServer } = this.#options;
     const load = this.#engineRunner?.load ?? {
       running: this.#serviceRunner?.running ?? 0,
