--- a/cli/entryCommand.ts
+++ b/cli/entryCommand.ts
@@ -1,7 +1,7 @@
 import { Command, Option } from 'clipanion';
 import { createLog } from '../log/mod.ts';
 import { startEntry } from '../programs/mod.ts';
-import { readProcess } from './_readFileOrExplain.ts';
+import { readSettingsFile } from './_readFileOrExplain.ts';
 import { runUntilSignal } from './_runUntilSignal.ts';
 
 /** `hyssopspread entry`. */
@@ -16,7 +16,7 @@
   readonly settings = Option.String('--settings', { required: true });
 
   async execute(): Promise<number> {
-    const reading = readProcess('entry', this.settings);
+    const reading = readSettingsFile('entry', this.settings);
     if (reading.kind === 'refusal') {
       this.context.stderr.write(`${reading.text}\n`);
       return 1;
--- a/cli/sidecarCommand.ts
+++ b/cli/sidecarCommand.ts
@@ -1,7 +1,7 @@
 import { Command, Option } from 'clipanion';
 import { createLog } from '../log/mod.ts';
 import { startSidecar } from '../programs/mod.ts';
-import { readProcess } from './_readFileOrExplain.ts';
+import { readSettingsFile } from './_readFileOrExplain.ts';
 import { runUntilSignal } from './_runUntilSignal.ts';
 
 /** `hyssopspread sidecar`. */
@@ -16,7 +16,7 @@
   readonly settings = Option.String('--settings', { required: true });
 
   async execute(): Promise<number> {
-    const reading = readProcess('sidecar', this.settings);
+    const reading = readSettingsFile('sidecar', this.settings);
     if (reading.kind === 'refusal') {
       this.context.stderr.write(`${reading.text}\n`);
       return 1;
--- a/core/ini/parseIni.ts
+++ b/core/ini/parseIni.ts
@@ -25,7 +25,7 @@
 
 const SECTION = /^\[([^\]]*)\]\s*$/;
 const COMMENT_OR_EMPTY = /^\s*([;#].*)?$/;
-const KEY = /^\s*([A-Za-z0-9_]+)\s*=/;
+const KEY = /^\s*([A-Za-z0-9_.-]+)\s*=/;
 
 type Draft = {
   readonly name: string;
--- a/programs/testing/taskFleet.ts
+++ b/programs/testing/taskFleet.ts
@@ -75,13 +75,14 @@
   return [
     `[process]\nhost = ${host}\navailability_zone = az-1`,
     `[platform]\nconfiguration = ${url}\nhost_list = ${url}`,
-    '[link]\nkey_env = UNUSED',
+    '[link]\nkey_env = TASK_FLEET_LINK_KEY',
     rest,
   ].join('\n');
 }
 
 /** Starts a fleet whose entry is ready for completions. */
 export async function startTaskFleet(): Promise<TaskFleet> {
+  [process.env.TASK_FLEET_LINK_KEY] = LINK_KEYS;
   const recorder = new EventRecorder();
   const { log } = recorder;
   const { objects } = checkSet(parseSet([{ file: 'set.ini', text: SET }]).declarations);
--- a/settings/_schemas.ts
+++ b/settings/_schemas.ts
@@ -1,52 +1,12 @@
-import { isIP } from 'node:net';
 import { z } from 'zod';
+import { address, name, oneOf, time, url, wholeNumber } from './_values.ts';
 
-const LISTED_HOST_FORM = 'must be "entry|sidecar IP:PORT AVAILABILITY_ZONE"';
+export type { Address } from './_values.ts';
 
-const MOST_PORT = 65_535;
+const LISTED_HOST_FORM =
+  'must be "entry IP:PORT ZONE" or "sidecar IP:PORT ZONE", such as "sidecar 127.0.0.1:8610 az-1"';
 
-/** An IP number and a port. */
-export type Address = { readonly ip: string; readonly port: number };
-
-function parseAddress(text: string): Address | undefined {
-  const colon = text.lastIndexOf(':');
-  const ip = text.slice(0, colon).replace(/^\[(.*)\]$/, '$1');
-  const port = Number(text.slice(colon + 1));
-  const isPort = /^\d{1,5}$/.test(text.slice(colon + 1)) && port <= MOST_PORT;
-  return isIP(ip) !== 0 && isPort ? { ip, port } : undefined;
-}
-
-/** `ip:port`. */
-export const address = z
-  .string()
-  .refine((text) => parseAddress(text) !== undefined, 'must be IP:PORT, such as 127.0.0.1:8080')
-  .transform((text) => parseAddress(text)!);
-
-const url = z
-  .string()
-  .regex(
-    /^http:\/\/[0-9a-f.:[\]]+:\d+(\/.*)?$/,
-    'must be http://IP:PORT, such as http://127.0.0.1:8500',
-  );
-
-const hostName = z
-  .string()
-  .regex(/^[a-z0-9][a-z0-9.-]*$/, 'must be lower-case letters, digits, . and -');
-
-const milliseconds = z
-  .string()
-  .regex(/^\d+(\.\d+)?(ms|s)$/, 'must be a time with its unit, such as 500ms or 2s')
-  .transform((text) => Number.parseFloat(text) * (text.endsWith('ms') ? 1 : 1000));
-
-function wholeNumber(least: number, most: number): z.ZodType<number, string> {
-  return z
-    .string()
-    .regex(/^\d+$/, `must be a whole number from ${least} to ${most}`)
-    .transform(Number)
-    .pipe(z.number().min(least, `must be at least ${least}`).max(most, `must be at most ${most}`));
-}
-
-const processSection = z.strictObject({ host: hostName, availability_zone: hostName });
+const processSection = z.strictObject({ host: name, availability_zone: name });
 
 const platformSection = z.strictObject({ configuration: url, host_list: url });
 
@@ -54,26 +14,29 @@
   .strictObject({
     key_env: z
       .string()
-      .regex(/^[A-Z][A-Z0-9_]*$/, 'must name an environment variable')
+      .regex(
+        /^[A-Z][A-Z0-9_]*$/,
+        'must name an environment variable, such as HYSSOPSPREAD_LINK_KEY; correct it',
+      )
       .optional(),
     key_file: z.string().min(1).optional(),
   })
   .refine((section) => (section.key_env === undefined) !== (section.key_file === undefined), {
     path: ['key_env'],
-    message: 'or key_file must be given, and not both',
+    message: 'or key_file must be given, and not both; keep one of them',
   });
 
 const logSection = z
   .strictObject({
-    format: z.enum(['json', 'text']).default('json'),
-    level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+    format: oneOf(['json', 'text']).default('json'),
+    level: oneOf(['error', 'warn', 'info', 'debug']).default('info'),
   })
   .prefault({});
 
 const listedHost = z
   .string()
   .transform((text) => text.split(/\s+/))
-  .pipe(z.tuple([z.enum(['entry', 'sidecar']), address, hostName], LISTED_HOST_FORM))
+  .pipe(z.tuple([oneOf(['entry', 'sidecar']), address, name], LISTED_HOST_FORM))
   .transform(([role, { ip, port }, availabilityZone]) => ({
     role,
     address: `${ip}:${port}`,
@@ -88,7 +51,7 @@
   link: linkSection,
   limits: z
     .strictObject({
-      request_timeout: milliseconds.default(60_000),
+      request_timeout: time.default(60_000),
       body_bytes: wholeNumber(1024, 2_097_152).default(1_048_576),
       unread_bytes: wholeNumber(16_384, 16_777_216).default(262_144),
     })
@@ -103,8 +66,8 @@
   platform: platformSection,
   link: linkSection,
   backend: z.strictObject({
-    kind: z.enum(['engine', 'service']),
-    backend_server: hostName,
+    kind: oneOf(['engine', 'service']),
+    backend_server: name,
     url,
   }),
   log: logSection,
@@ -131,7 +94,7 @@
     batch_width: wholeNumber(1, 1000).default(16),
   }),
   service: z.strictObject({ listen: address }),
-  hosts: z.record(z.string(), listedHost).default({}),
+  hosts: z.record(name, listedHost).default({}),
   log: logSection,
 });
 
--- a/settings/readLinkKey.ts
+++ b/settings/readLinkKey.ts
@@ -34,18 +34,17 @@
  * @param source The `[link]` section.
  */
 export function readLinkKey(source: LinkKeySource): LinkKeyReading {
-  const place = source.key_env ?? source.key_file ?? '';
   const text = readText(source);
   if (text === undefined) {
     return {
       kind: 'problem',
-      message: `the link key in ${place} cannot be read; provide it there`,
+      message: 'the link key cannot be read there; provide it there',
     };
   }
   const keys = text.split(/\s+/).filter((key) => key !== '');
   if (keys.length === 0 || keys.some(isWeak)) {
     const wanted = `at least ${LEAST_KEY_LENGTH} random characters`;
-    return { kind: 'problem', message: `a link key in ${place} is weak; use ${wanted}` };
+    return { kind: 'problem', message: `a link key there is weak; use ${wanted}` };
   }
   return { kind: 'keys', keys };
 }
