--- a/cli/_checkSetFiles.ts
+++ b/cli/_checkSetFiles.ts
@@ -1,7 +1,6 @@
-import { formatProblem } from '../core/ini/mod.ts';
 import { checkSet, parseSet } from '../core/set/mod.ts';
 import type { SetFile, SetObject } from '../core/set/mod.ts';
-import { readFileOrExplain, refusal } from './_readFileOrExplain.ts';
+import { readFileOrExplain, refusalOf } from './_readFileOrExplain.ts';
 import type { Refusal } from './_readFileOrExplain.ts';
 
 /** Reads and checks the files of a set. */
@@ -17,6 +16,6 @@
   const parsed = parseSet(files);
   const check = checkSet(parsed.declarations);
   const problems = [...parsed.problems, ...check.problems];
-  if (problems.length > 0) return refusal(problems.map(formatProblem).join('\n'));
+  if (problems.length > 0) return refusalOf(problems);
   return { kind: 'objects', objects: check.objects };
 }
--- a/cli/_readFileOrExplain.ts
+++ b/cli/_readFileOrExplain.ts
@@ -1,14 +1,25 @@
 import { readFileSync } from 'node:fs';
 import { formatProblem } from '../core/ini/mod.ts';
+import type { IniProblem } from '../core/ini/mod.ts';
 import { readSettings } from '../settings/mod.ts';
 import type { SettingsReading, SettingsRole } from '../settings/mod.ts';
 
 /** A check that a command failed, with the text to print. */
-export type Refusal = { readonly kind: 'refusal'; readonly text: string };
+export type Refusal = {
+  readonly kind: 'refusal';
+  readonly text: string;
+  /** What is wrong, place by place, if it stands in files that can be read. */
+  readonly problems: readonly IniProblem[];
+};
 
 /** Builds a refusal. */
 export function refusal(text: string): Refusal {
-  return { kind: 'refusal', text };
+  return { kind: 'refusal', text, problems: [] };
+}
+
+/** Builds a refusal of problems in files. */
+export function refusalOf(problems: readonly IniProblem[]): Refusal {
+  return { kind: 'refusal', text: problems.map(formatProblem).join('\n'), problems };
 }
 
 /** Reads a file, or says why it cannot be read. */
@@ -36,5 +47,5 @@
   if (file.kind === 'refusal') return file;
   const reading = readSettings(role, name, file.text);
   if (reading.kind === 'settings') return reading;
-  return refusal(reading.problems.map(formatProblem).join('\n'));
+  return refusalOf(reading.problems);
 }
--- a/cli/entryCommand.ts
+++ b/cli/entryCommand.ts
@@ -3,6 +3,7 @@
 import { startEntry } from '../programs/mod.ts';
 import { readSettingsFile } from './_readFileOrExplain.ts';
 import { runUntilSignal } from './_runUntilSignal.ts';
+import { startOrExplain } from './_startOrExplain.ts';
 
 /** `hyssopspread entry`. */
 export class EntryCommand extends Command {
@@ -13,7 +14,10 @@
     examples: [['Start', '$0 entry --settings entry.ini']],
   });
 
-  readonly settings = Option.String('--settings', { required: true });
+  readonly settings = Option.String('--settings', {
+    required: true,
+    description: 'The settings file',
+  });
 
   async execute(): Promise<number> {
     const reading = readSettingsFile('entry', this.settings);
@@ -24,7 +28,7 @@
     const { settings, linkKeys } = reading;
     const fields = { role: 'entry', host: settings.process.host };
     const log = createLog({ ...settings.log, fields });
-    const running = await startEntry({ settings, linkKeys, log });
+    const running = await startOrExplain(() => startEntry({ settings, linkKeys, log }));
     await runUntilSignal(running.leave);
     return 0;
   }
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -10,6 +10,7 @@
 import { SidecarCommand } from './sidecarCommand.ts';
 import { StandinsCommand } from './standinsCommand.ts';
 import { StatusCommand } from './statusCommand.ts';
+import { WRONG_USE } from './_refuseUse.ts';
 
 const cli = new Cli({
   binaryLabel: 'hyssopspread',
@@ -33,15 +34,27 @@
   StatusCommand,
 ].forEach((command) => cli.register(command));
 
-/** The exit code of a wrong command line. */
-const WRONG_USE = 2;
+/** Runs a command line and returns its exit code. */
+async function run(parameters: readonly string[]): Promise<number> {
+  if (parameters.length === 0) {
+    process.stderr.write(cli.usage());
+    return WRONG_USE;
+  }
+  let command: ReturnType<typeof cli.process>;
+  try {
+    command = cli.process([...parameters], Cli.defaultContext);
+  } catch (error) {
+    process.stderr.write(cli.error(error));
+    return WRONG_USE;
+  }
+  return cli.run(command, Cli.defaultContext);
+}
 
-cli
-  .run(process.argv.slice(2), Cli.defaultContext)
+run(process.argv.slice(2))
   .then((code) => {
     process.exitCode = code;
   })
   .catch((error: unknown) => {
     process.stderr.write(`${String(error)}\n`);
-    process.exitCode = WRONG_USE;
+    process.exitCode = 1;
   });
--- a/cli/setPackCommand.ts
+++ b/cli/setPackCommand.ts
@@ -3,6 +3,7 @@
 import { Command, Option } from 'clipanion';
 import { packSet } from '../core/set/mod.ts';
 import { checkSetFiles } from './_checkSetFiles.ts';
+import { refuseUse } from './_refuseUse.ts';
 
 /** `hyssopspread set pack`. */
 export class SetPackCommand extends Command {
@@ -23,8 +24,7 @@
     const generation = Number(this.generation);
     if (!Number.isSafeInteger(generation) || generation < 1) {
       const remedy = 'give a whole number above that of the set in force';
-      this.context.stderr.write(`--generation "${this.generation}" is wrong; ${remedy}\n`);
-      return 1;
+      return refuseUse(this.context, `--generation "${this.generation}" is wrong; ${remedy}`);
     }
     const check = checkSetFiles(this.files);
     if (check.kind === 'refusal') {
--- a/cli/sidecarCommand.ts
+++ b/cli/sidecarCommand.ts
@@ -3,6 +3,7 @@
 import { startSidecar } from '../programs/mod.ts';
 import { readSettingsFile } from './_readFileOrExplain.ts';
 import { runUntilSignal } from './_runUntilSignal.ts';
+import { startOrExplain } from './_startOrExplain.ts';
 
 /** `hyssopspread sidecar`. */
 export class SidecarCommand extends Command {
@@ -13,7 +14,10 @@
     examples: [['Start', '$0 sidecar --settings sidecar.ini']],
   });
 
-  readonly settings = Option.String('--settings', { required: true });
+  readonly settings = Option.String('--settings', {
+    required: true,
+    description: 'The settings file',
+  });
 
   async execute(): Promise<number> {
     const reading = readSettingsFile('sidecar', this.settings);
@@ -24,7 +28,7 @@
     const { settings, linkKeys } = reading;
     const fields = { role: 'sidecar', host: settings.process.host };
     const log = createLog({ ...settings.log, fields });
-    const running = await startSidecar({ settings, linkKeys, log });
+    const running = await startOrExplain(() => startSidecar({ settings, linkKeys, log }));
     await runUntilSignal(running.leave);
     return 0;
   }
--- a/cli/standinsCommand.ts
+++ b/cli/standinsCommand.ts
@@ -9,6 +9,7 @@
 import { readSettingsFile } from './_readFileOrExplain.ts';
 import type { Refusal } from './_readFileOrExplain.ts';
 import { runUntilSignal } from './_runUntilSignal.ts';
+import { startOrExplain } from './_startOrExplain.ts';
 
 /** Reads, checks and packs the set that the settings name, if any. */
 function readPublication(
@@ -31,7 +32,10 @@
     examples: [['Start', '$0 standins --settings standins.ini']],
   });
 
-  readonly settings = Option.String('--settings', { required: true });
+  readonly settings = Option.String('--settings', {
+    required: true,
+    description: 'The settings file',
+  });
 
   async execute(): Promise<number> {
     const reading = readSettingsFile('standins', this.settings);
@@ -46,7 +50,7 @@
       return 1;
     }
     const log = createLog({ ...settings.log, fields: { role: 'standins' } });
-    const running = await startStandins(settings, publication.values);
+    const running = await startOrExplain(() => startStandins(settings, publication.values));
     const { platformPort, enginePorts, servicePort } = running;
     log('processStarted', { platformPort, enginePorts: enginePorts.join(' '), servicePort });
     await runUntilSignal(running.stop);
--- a/programs/processes.test.ts
+++ b/programs/processes.test.ts
@@ -42,7 +42,14 @@
       const answer = await stream(caller, SHORT);
       expectWhole(answer, SHORT);
       const { requestName } = answer;
-      await fleet.entry.event(REQUEST_ENDED, (line) => line.request === requestName);
+      const ended = await fleet.entry.event(REQUEST_ENDED, (line) => line.request === requestName);
+      expect(ended).to.include({
+        role: 'entry',
+        host: 'entry-1',
+        peer: answer.host,
+        outcome: 'done',
+      });
+      expect(ended.exchange).to.be.a('string').and.not.to.equal('');
     });
 
     it('takes effect once when a booking is sent twice with one key', async () => {
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -341,7 +341,8 @@
     const { attempts = 3 } = this.#options;
     const again = isRetryable(outcome) && !request.started && request.tried.size < attempts;
     if (again && request.destination.kind !== 'host' && this.#chooseHost(request) !== undefined) {
-      this.#options.log('requestRetried', { request: request.submission.name, host: request.host });
+      const { submission, exchange, host } = request;
+      this.#options.log('requestRetried', { request: submission.name, exchange, peer: host });
       this.#send(request);
       return;
     }
@@ -371,14 +372,21 @@
     outcome: Outcome,
     answer: { readonly digest: string; readonly body: string } = { digest: '', body: '' },
   ): void {
-    const { submission, tokens, generation, host } = request;
+    const { submission, tokens, generation, host, exchange } = request;
     request.cancelDeadline();
     this.#byExchange.delete(request.exchange);
     this.#requests.delete(submission.name);
     this.#recordBurn(request, outcome);
     const elapsedMs = Math.round(this.#options.clock.now() - request.startedAt);
     const reason = outcome.kind === 'done' ? undefined : outcome.reason;
-    const fields = { request: submission.name, host, outcome: outcome.kind, reason, elapsedMs };
+    const fields = {
+      request: submission.name,
+      exchange,
+      peer: host,
+      outcome: outcome.kind,
+      reason,
+      elapsedMs,
+    };
     this.#options.log('requestEnded', fields);
     const { digest, body } = answer;
     const final: SubmissionEvent = { kind: 'final', outcome, tokens, digest, body, generation };
--- a/tools/build/main.ts
+++ b/tools/build/main.ts
@@ -1,6 +1,7 @@
 import { execFileSync } from 'node:child_process';
 import { copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
+import type { Plugin } from 'esbuild';
 import { inject } from 'postject';
 
 const BUNDLE = 'dist/hyssopspread.cjs';
@@ -9,6 +10,20 @@
 const CONFIGURATION = 'dist/sea-config.json';
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
+/** Makes the libraries' optional native parts throw on loading, which the libraries expect. */
+const leaveOutNativeParts: Plugin = {
+  name: 'leave-out-native-parts',
+  setup: ({ onResolve, onLoad }) => {
+    onResolve({ filter: /^(msgpackr-extract|bufferutil|utf-8-validate)$/ }, ({ path }) => ({
+      path,
+      namespace: 'left-out',
+    }));
+    onLoad({ filter: /.*/, namespace: 'left-out' }, () => ({
+      contents: 'throw new Error("this optional part is left out of the bundle");',
+    }));
+  },
+};
+
 async function bundle(): Promise<void> {
   await build({
     entryPoints: ['cli/main.ts'],
@@ -18,7 +33,7 @@
     target: 'node20',
     format: 'cjs',
     logLevel: 'warning',
-    external: ['msgpackr-extract', 'bufferutil', 'utf-8-validate'],
+    plugins: [leaveOutNativeParts],
   });
 }
 
@@ -29,7 +44,9 @@
     CONFIGURATION,
     JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }),
   );
-  execFileSync(process.execPath, ['--experimental-sea-config', CONFIGURATION]);
+  execFileSync(process.execPath, ['--experimental-sea-config', CONFIGURATION], {
+    stdio: ['ignore', 'ignore', 'inherit'],
+  });
   copyFileSync(process.execPath, BINARY);
   await inject(BINARY, 'NODE_SEA_BLOB', await readFile(BLOB), { sentinelFuse: FUSE });
   await chmod(BINARY, 0o755);
