Show the engine a new sender's number before its residents are used

Cause: a successor that started streams on adapters it found resident had sent no order, so that a woken predecessor took itself for the only sender.

--- a/tasks/sidecar/engineRunner.ts
+++ b/tasks/sidecar/engineRunner.ts
@@ -81,7 +81,7 @@
   /** Unloads that wait until the engine runs nothing but this process's streams. */
   #deferred: ResidenceOrder[] = [];
 
-  /** Orders that repeat a lost unload and of which the residence knows nothing. */
+  /** Orders of which the residence knows nothing: claims and repeated unloads. */
   readonly #repeats = new Set<ResidenceOrder>();
 
   /** Whether the engine may run streams that this process does not follow. */
@@ -239,6 +239,7 @@
     if (verdict === 'claimed') {
       if (hadClaimed) this.#options.log('engineRestarted');
       this.#hasForeignStreams = true;
+      this.#assertClaim(state.resident);
     }
     this.#batchWidth = state.batchWidth;
     this.#residence.resize(state.batchWidth);
@@ -256,6 +257,15 @@
     deferred.forEach((order) => this.#send(order));
   }
 
+  /** Shows the engine this process's number before anything resident is used. */
+  #assertClaim(resident: readonly string[]): void {
+    const [adapterVersion] = resident;
+    if (adapterVersion === undefined) return;
+    const order: ResidenceOrder = { kind: 'load', adapterVersion };
+    this.#repeats.add(order);
+    this.#send(order);
+  }
+
   /** Unloads what a lost unload has left resident; returns whether there is such. */
   #repeatUnloads(resident: readonly string[]): boolean {
     const now = this.#options.clock.now();
@@ -312,7 +322,7 @@
     const now = this.#options.clock.now();
     if (reply.kind === 'lost') this.#fence.noteLost(order, now);
     if (this.#repeats.delete(order)) {
-      if (reply.kind !== 'refused') this.#inspect();
+      if (kind === 'load' || reply.kind !== 'refused') this.#inspect();
       return;
     }
     this.#perform(this.#residence.ordered(order, ORDER_RESULTS[reply.kind], now));
