--- a/scenario/session/runScenario.ts
+++ b/scenario/session/runScenario.ts
@@ -7,6 +7,8 @@
 export type RunScenarioOptions = SessionOptions & {
   /** Time that passes after the last line, so that late effects show. @default 35000 */
   readonly settleMs?: number;
+  /** Told of the session before its first line. */
+  readonly onSession?: (session: Session) => void;
 };
 
 /** What a run of a scenario showed. */
@@ -15,6 +17,8 @@
   readonly journal: readonly string[];
   /** Expectations that failed and invariants that were broken. */
   readonly failures: readonly string[];
+  /** Invariants that were broken. */
+  readonly violations: readonly string[];
   readonly session: Session;
 };
 
@@ -48,9 +52,10 @@
   options: RunScenarioOptions = {},
 ): Promise<ScenarioReport> {
   const session = new Session(options);
+  options.onSession?.(session);
   const failures = await runLines(session, file, text);
   const journal = [...session.journal];
   await session.advance(options.settleMs ?? SETTLE_MS);
   const violations = session.observer.finish(session.runs);
-  return { journal, failures: [...failures, ...violations], session };
+  return { journal, failures: [...failures, ...violations], violations, session };
 }
