--- a/bench/capacity/measureSlopes.ts
+++ b/bench/capacity/measureSlopes.ts
@@ -1,7 +1,23 @@
 import { createHash } from 'node:crypto';
 import { KeyLedger } from '../../core/idempotency/mod.ts';
 import { chooseBackendServer } from '../../core/placement/mod.ts';
-import { HEAD_NAME, indexSet, packSet, resolveModel, unpackSet } from '../../core/set/mod.ts';
+import {
+  applyDifference,
+  buildSet,
+  compareHoldings,
+  differenceName,
+  formatDifference,
+  HEAD_NAME,
+  holdObjects,
+  indexSet,
+  manifestName,
+  OBJECT_KINDS,
+  packSet,
+  parseDifference,
+  resolveModel,
+} from '../../core/set/mod.ts';
+import type { SetObject } from '../../core/set/mod.ts';
+import { encodeEnvelope } from '../../tasks/_codec.ts';
 import { openRequest } from '../../tasks/entry/_openRequest.ts';
 import { fitLine } from './fitLine.ts';
 import type { Slope } from './fitLine.ts';
@@ -22,21 +38,25 @@
 
 const SECONDS = 60;
 
+const CHANGE_RUNS = 50;
+
 const CHUNK = { kind: 'chunk', text: ' legajo', tokens: 1 } as const;
 
 /** The names of all slopes. */
 export type SlopeName =
   | 'state.adapter'
+  | 'state.backend-server'
   | 'state.link'
   | 'state.stream'
   | 'state.key'
   | 'bytes.idle-link'
   | 'messages.idle-link'
-  | 'bytes.part'
-  | 'bytes.head'
+  | 'bytes.whole-set'
+  | 'bytes.manifest'
+  | 'bytes.change'
   | 'bytes.listed-host'
   | 'bytes.chunk'
-  | 'time.index'
+  | 'time.change'
   | 'time.heartbeat'
   | 'time.submit'
   | 'time.chunk'
@@ -100,6 +120,12 @@
     measureState('state.adapter', 'adapter', ADAPTERS, (count) =>
       indexSet(sampleSet(count), STAMP),
     ),
+    measureState(
+      'state.backend-server',
+      'backend server in a sidecar',
+      [3000, 6000, 12_000],
+      (count) => buildSet(holdObjects(sampleSet(0, count)), 1),
+    ),
     measureState('state.link', 'link, both ends', [100, 200, 400], (count) =>
       Array.from({ length: count }, () => new LinkPair(RESIDENT)),
     ),
@@ -126,13 +152,40 @@
   return pair.bytes;
 }
 
+/** Counts the bytes by which a process reads single changes from a peer. */
+function relayBytes(changes: number): number {
+  const objects = sampleSet(ADAPTERS[0]);
+  const before = holdObjects(objects);
+  const adapters = objects.filter(({ kind }) => kind === 'adapter');
+  let bytes = 0;
+  for (const changed of adapters.slice(0, changes)) {
+    const after = objects.map((object) =>
+      object === changed && object.kind === 'adapter'
+        ? { ...object, versions: ['1', '2', '3'] }
+        : object,
+    );
+    const { head, values } = packSet(after, 27_000, before);
+    const name = differenceName(before.digest);
+    const { text } = values.find((value) => value.name === name)!;
+    const frames = [
+      { kind: 'set-read', name: HEAD_NAME },
+      { kind: 'set-value', name: HEAD_NAME, text: JSON.stringify(head) },
+      { kind: 'set-read', name },
+      { kind: 'set-value', name, text },
+    ] as const;
+    for (const frame of frames) bytes += encodeEnvelope({ sequence: 1000, frame }).length;
+  }
+  return bytes;
+}
+
 function measureTraffic(): readonly Slope[] {
   const links = [5, 10, 20, 40];
   const sizes = ADAPTERS.map((adapters) => {
-    const { values } = packSet(sampleSet(adapters), 1);
-    const head = values.find(({ name }) => name === HEAD_NAME)!.text.length;
-    const all = values.reduce((sum, { text }) => sum + text.length, 0);
-    return { adapters, head, part: (all - head) / (values.length - 1) };
+    const { holding, values } = packSet(sampleSet(adapters), 1);
+    const manifest = values.find(({ name }) => name === manifestName(holding.digest))!;
+    const parts = [...holding.texts.values()];
+    const all = parts.reduce((sum, text) => sum + text.length, 0);
+    return { adapters, manifest: manifest.text.length, whole: all };
   });
   const sizeAt = (adapters: number): (typeof sizes)[number] =>
     sizes.find((each) => each.adapters === adapters)!;
@@ -155,14 +208,19 @@
       (count) => runIdle(count).messages,
     ),
     measureCounts(
-      { name: 'bytes.part', unit: 'byte', per: 'adapter, in one part of the set' },
+      { name: 'bytes.whole-set', unit: 'byte', per: 'adapter, all parts of the set' },
       ADAPTERS,
-      (adapters) => sizeAt(adapters).part,
+      (adapters) => sizeAt(adapters).whole,
     ),
     measureCounts(
-      { name: 'bytes.head', unit: 'byte', per: 'adapter, in the head of the set' },
+      { name: 'bytes.manifest', unit: 'byte', per: 'adapter, in the manifest of the set' },
       ADAPTERS,
-      (adapters) => sizeAt(adapters).head,
+      (adapters) => sizeAt(adapters).manifest,
+    ),
+    measureCounts(
+      { name: 'bytes.change', unit: 'byte', per: 'change read over a link, all four frames' },
+      [10, 20, 40],
+      relayBytes,
     ),
     measureCounts(
       { name: 'bytes.chunk', unit: 'byte', per: 'chunk with its acknowledgement' },
@@ -177,14 +235,34 @@
   ];
 }
 
-/** Measures the time to take a set of some size, read whole. */
-function measureIndexTime(): Slope {
+/** Changes one adapter of a set. */
+function changeOne(objects: readonly SetObject[]): readonly SetObject[] {
+  return objects.map((object) =>
+    object.kind === 'adapter' && object.name.endsWith('-777')
+      ? { ...object, versions: ['1', '2', '3'] }
+      : object,
+  );
+}
+
+/** Measures the time to take one change into a set of some size. */
+function measureChangeTime(): Slope {
   const points = ADAPTERS.map((x) => {
-    const { head, values } = packSet(sampleSet(x), 1);
-    const parts = new Map(values.map(({ name, text }) => [name.replace('parts/', ''), text]));
-    return { x, y: medianProcessorTime(() => unpackSet(head, parts)) };
+    const before = holdObjects(sampleSet(x));
+    const after = holdObjects(changeOne(sampleSet(x)));
+    const text = formatDifference(compareHoldings(before, after)!);
+    const built = { holding: before, set: buildSet(before, 1) };
+    const y = medianProcessorTime(() => {
+      for (let run = 0; run < CHANGE_RUNS; run += 1) {
+        const next = applyDifference(before, parseDifference(text)!, new Set(OBJECT_KINDS));
+        buildSet(next!, 2, built);
+      }
+    });
+    return { x, y: y / CHANGE_RUNS };
   });
-  return fitLine({ name: 'time.index', unit: 'microsecond', per: 'adapter, set taken' }, points);
+  return fitLine(
+    { name: 'time.change', unit: 'microsecond', per: 'adapter, for each change taken' },
+    points,
+  );
 }
 
 function measureTimes(): readonly Slope[] {
@@ -201,7 +279,7 @@
   }));
   const submits = new LinkPair(RESIDENT);
   return [
-    measureIndexTime(),
+    measureChangeTime(),
     measureProcessorTime(
       'time.heartbeat',
       'heartbeat interval of a link, both ends',
--- a/bench/capacity/workOut.ts
+++ b/bench/capacity/workOut.ts
@@ -1,3 +1,4 @@
+import { WATCHERS_PER_ZONE } from '../../core/membership/mod.ts';
 import type { Deployment } from './deployments.ts';
 import type { Slope } from './fitLine.ts';
 import type { SlopeName } from './measureSlopes.ts';
@@ -41,6 +42,13 @@
 
 const HOST_LIST_READS_PER_SECOND = 1;
 
+const FRAMES_PER_READING = 4;
+
+const READS_PER_CHANGE = 3;
+
+/** Mean time between the readings of a process that does not watch. */
+const POLL_SECONDS = 300;
+
 const KEYS_REMEMBERED = 100_000;
 
 /** Looks a slope up by name. */
@@ -87,17 +95,23 @@
 }
 
 function setRow(role: string, slopes: Slopes, size: Deployment): CapacityRow {
-  const mechanism = 'whole set indexed; each change reads the head and one part';
-  const remedy = 'packed lookup, differences and a projection for sidecars';
+  const isEntry = role === 'entry';
+  const mechanism = isEntry
+    ? 'packed parts looked up in place; differences read from and given to peers'
+    : 'pools, backend servers, services and limits only; differences read from an entry';
+  const remedy = 'differences pushed without reading the head first';
   const changes = size.changesPerDay / SECONDS_PER_DAY;
-  const bytes = lineAt(slopes('bytes.head'), size.adapters) + slopes('bytes.part').points.at(-1)!.y;
+  const readings = isEntry ? 1 + size.workers / size.entries : 1;
+  const time = lineAt(slopes('time.change'), isEntry ? size.adapters : 0);
   return row(
     { role, matter: 'published set', mechanism, remedy, isControl: true },
     {
-      stateBytes: slopes('state.adapter').slope * size.adapters,
-      messagesPerSecond: changes * 2,
-      bytesPerSecond: changes * bytes,
-      processorShare: changes * slopes('time.index').slope * MICROSECONDS * size.adapters,
+      stateBytes: isEntry
+        ? slopes('state.adapter').slope * size.adapters
+        : slopes('state.backend-server').slope * size.workers,
+      messagesPerSecond: changes * FRAMES_PER_READING * readings,
+      bytesPerSecond: changes * slopes('bytes.change').slope * readings,
+      processorShare: changes * time * MICROSECONDS,
     },
   );
 }
@@ -203,20 +217,21 @@
 }
 
 function configurationRow(slopes: Slopes, size: Deployment): CapacityRow {
-  const watchers = size.entries + size.workers;
+  const watchers = Math.min(size.entries, size.availabilityZones * WATCHERS_PER_ZONE);
+  const others = size.entries + size.workers - watchers;
   const changes = size.changesPerDay / SECONDS_PER_DAY;
-  const bytes = lineAt(slopes('bytes.head'), size.adapters) + slopes('bytes.part').points.at(-1)!.y;
   return row(
     {
       role: 'configuration service, all readers',
       matter: 'watches and reads',
-      mechanism: 'every process watches the head and reads changed parts',
-      remedy: 'two watchers per availability zone, the rest hear over links',
+      mechanism: 'two entries per availability zone watch, all others read the head every 300 s',
+      remedy: 'fewer watchers',
       isControl: false,
     },
     {
-      messagesPerSecond: watchers * (1 / WATCH_SECONDS + changes * 2),
-      bytesPerSecond: watchers * changes * bytes,
+      messagesPerSecond:
+        watchers * (1 / WATCH_SECONDS + changes * READS_PER_CHANGE) + others / POLL_SECONDS,
+      bytesPerSecond: watchers * changes * slopes('bytes.change').slope,
     },
   );
 }
--- a/core/link/entryLink.ts
+++ b/core/link/entryLink.ts
@@ -9,6 +9,7 @@
   ExchangeEvent,
   Identity,
   LoadReport,
+  SetFrame,
   SetStamp,
   SidecarFrame,
 } from './frames.ts';
@@ -66,6 +67,7 @@
       readonly event: ExchangeEvent;
     }
   | { readonly kind: 'ready'; readonly epoch: Epoch }
+  | { readonly kind: 'set-frame'; readonly frame: SetFrame }
   | { readonly kind: 'suspected'; readonly silentMs: Milliseconds }
   | { readonly kind: 'mismatch'; readonly detail: string };
 
@@ -181,6 +183,12 @@
     this.#ownSet = set;
   }
 
+  /** Sends a frame of the set, or drops it when no connection is ready. */
+  sendSet(frame: SetFrame): readonly EntryLinkAction[] {
+    if (this.#ready !== undefined) this.#send(this.#ready, frame);
+    return this.#takeActions();
+  }
+
   /** Tells that time has passed. */
   tick(now: Milliseconds): readonly EntryLinkAction[] {
     this.#closeSlowConnections(now);
@@ -380,6 +388,12 @@
         this.#hear(connection, now);
         this.#noteReport(frame, now);
         return;
+      case 'set-read':
+      case 'set-value':
+      case 'set-conflict':
+        this.#hear(connection, now);
+        if (connection === this.#ready) this.#actions.push({ kind: 'set-frame', frame });
+        return;
       default:
         this.#hear(connection, now);
         this.#handleEvent(connection, frame);
--- a/core/link/frames.ts
+++ b/core/link/frames.ts
@@ -99,8 +99,21 @@
 /** An exchange that an entry wants to go on after a new connection. */
 export type ResumePoint = { readonly exchange: ExchangeName; readonly nextEvent: number };
 
+/** Frames by which one process reads values of the set from another, in both directions. */
+export type SetFrame =
+  | { readonly kind: 'set-read'; readonly name: string }
+  /** Tells of two different sets that bear one generation. */
+  | {
+      readonly kind: 'set-conflict';
+      readonly generation: number;
+      readonly digests: readonly string[];
+    }
+  /** `text` is null when the value is not held. */
+  | { readonly kind: 'set-value'; readonly name: string; readonly text: string | null };
+
 /** Frames from an entry to a sidecar. */
 export type EntryFrame =
+  | SetFrame
   | {
       readonly kind: 'hello';
       readonly version: number;
@@ -138,6 +151,7 @@
 
 /** Frames from a sidecar to an entry. */
 export type SidecarFrame =
+  | SetFrame
   | {
       readonly kind: 'welcome';
       readonly version: number;
--- a/core/link/sidecarLink.ts
+++ b/core/link/sidecarLink.ts
@@ -9,6 +9,7 @@
   Identity,
   LoadReport,
   ResumePoint,
+  SetFrame,
   SetStamp,
   SidecarFrame,
 } from './frames.ts';
@@ -55,6 +56,7 @@
     }
   | { readonly kind: 'cancel'; readonly exchange: ExchangeName }
   | { readonly kind: 'peer-set'; readonly host: string; readonly set: SetStamp }
+  | { readonly kind: 'set-frame'; readonly host: string; readonly frame: SetFrame }
   | { readonly kind: 'refused'; readonly detail: string };
 
 type Hello = Extract<EntryFrame, { kind: 'hello' }>;
@@ -164,6 +166,13 @@
     return this.#takeActions();
   }
 
+  /** Sends a frame of the set, or drops it when the entry is not connected. */
+  sendSet(host: string, frame: SetFrame): readonly SidecarLinksAction[] {
+    const connection = this.#entries.get(host)?.connection;
+    if (connection !== undefined) this.#send(connection, frame);
+    return this.#takeActions();
+  }
+
   /** Adds an event to an exchange and sends it if the entry is connected. */
   emit(exchange: ExchangeName, event: ExchangeEvent): readonly SidecarLinksAction[] {
     const owner = this.#owners.get(exchange);
@@ -248,6 +257,11 @@
         this.#forget(link, frame.exchange);
         this.#actions.push({ kind: 'cancel', exchange: frame.exchange });
         return;
+      case 'set-read':
+      case 'set-value':
+      case 'set-conflict':
+        this.#actions.push({ kind: 'set-frame', host: link.identity.host, frame });
+        return;
       default:
         this.#actions.push({ kind: 'peer-set', host: link.identity.host, set: frame.set });
     }
--- a/core/membership/mod.ts
+++ b/core/membership/mod.ts
@@ -1,3 +1,4 @@
-/** Which hosts there are and which of them may get work. @module */
+/** Which hosts exist and may take work. @module */
+export { chooseWatchers, isWatcher, WATCHERS_PER_ZONE } from './chooseWatchers.ts';
 export { Membership } from './membership.ts';
 export type { ListedHost, MembershipChange } from './membership.ts';
--- /dev/null
+++ b/core/set/difference.test.ts
@@ -0,0 +1,127 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import {
+  applyDifference,
+  buildSet,
+  compareHoldings,
+  formatDifference,
+  holdObjects,
+  OBJECT_KINDS,
+  packSet,
+  parseDifference,
+  SIDECAR_SCOPE,
+  unpackSet,
+} from './mod.ts';
+import type { Adapter, Holding, SetObject } from './mod.ts';
+
+const ALL = new Set(OBJECT_KINDS);
+
+function adapter(index: number, versions: readonly string[]): Adapter {
+  const name = `house/aid-${index}`;
+  return { kind: 'adapter', name, tenant: 'house', pool: 'p', versions, shared: false };
+}
+
+const FIXED: readonly SetObject[] = [
+  { kind: 'tenant', name: 'house' },
+  { kind: 'limit', name: 'house', requestsPerSecond: 1, requestsInFlight: 2 },
+  {
+    kind: 'pool',
+    name: 'p',
+    baseModel: 'm',
+    policy: 'load-stalls',
+    slots: 4,
+    loadsPerSecond: 4,
+    loadsAtOnce: 2,
+  },
+];
+
+function setOf(versions: ReadonlyMap<number, number>): readonly SetObject[] {
+  return [...FIXED, ...[...versions].map(([index, version]) => adapter(index, [`${version}`]))];
+}
+
+const adapters = fc
+  .uniqueArray(fc.tuple(fc.nat(60), fc.nat(3)), { selector: ([index]) => index, minLength: 1 })
+  .map((entries) => new Map(entries));
+
+function readFrom(values: ReadonlyMap<string, string>, names: string[] = []) {
+  return (name: string): Promise<string | undefined> => {
+    names.push(name);
+    return Promise.resolve(values.get(name));
+  };
+}
+
+function valuesOf(objects: readonly SetObject[], generation: number, previous?: Holding) {
+  const packed = packSet(objects, generation, previous);
+  const values = new Map(packed.values.map(({ name, text }) => [name, text]));
+  return { ...packed, values };
+}
+
+describe('applyDifference', () => {
+  it('leads from any set to any other of the same buckets', () => {
+    fc.assert(
+      fc.property(adapters, adapters, (before, after) => {
+        const [from, to] = [holdObjects(setOf(before)), holdObjects(setOf(after))];
+        const difference = parseDifference(formatDifference(compareHoldings(from, to)!))!;
+        expect(applyDifference(from, difference, ALL)).to.deep.equal(to);
+      }),
+      { seed: 6, numRuns: 200 },
+    );
+  });
+
+  it('refuses a difference whose outcome has another digest', () => {
+    const from = holdObjects(setOf(new Map([[1, 1]])));
+    const to = holdObjects(setOf(new Map([[1, 2]])));
+    const difference = compareHoldings(from, to)!;
+    const forged = difference.parts.map((part) => ({ ...part, put: [] }));
+    expect(applyDifference(from, { ...difference, parts: forged }, ALL)).to.equal(undefined);
+    expect(applyDifference(to, difference, ALL)).to.equal(undefined);
+  });
+
+  it('follows changes of kinds that are not held', async () => {
+    const first = valuesOf(setOf(new Map([[1, 1]])), 1);
+    const held = await unpackSet(first.head, readFrom(first.values), SIDECAR_SCOPE);
+    const second = valuesOf(setOf(new Map([[1, 2]])), 2, first.holding);
+    const names: string[] = [];
+    const next = await unpackSet(
+      second.head,
+      readFrom(second.values, names),
+      SIDECAR_SCOPE,
+      held as Holding,
+    );
+    expect(next).to.have.property('digest', second.head.digest);
+    expect(names).to.deep.equal([`differences/${first.head.digest}`]);
+    const kinds = (next as Holding).manifest
+      .filter(({ digest }) => (next as Holding).texts.has(digest))
+      .map(({ kind }) => kind);
+    expect(kinds).to.have.members(['pool', 'limit']);
+  });
+});
+
+describe('unpackSet', () => {
+  it('reads the manifest and changed parts when a difference is lost', async () => {
+    const first = valuesOf(setOf(new Map([[1, 1]])), 1);
+    const second = valuesOf(setOf(new Map([[1, 2]])), 2, first.holding);
+    second.values.delete(`differences/${first.head.digest}`);
+    const next = await unpackSet(second.head, readFrom(second.values), ALL, first.holding);
+    expect(next).to.deep.equal(second.holding);
+  });
+
+  it('refuses a damaged part', async () => {
+    const first = valuesOf(setOf(new Map([[1, 1]])), 1);
+    const part = [...first.values.keys()].find((name) => name.startsWith('parts/'))!;
+    first.values.set(part, 'damaged');
+    const next = await unpackSet(first.head, readFrom(first.values), ALL);
+    expect(next).to.have.property('kind', 'unreadable');
+  });
+});
+
+describe('buildSet', () => {
+  it('finds every adapter and no other', () => {
+    const objects = Array.from({ length: 3000 }, (_, index) => adapter(index, ['1']));
+    const set = buildSet(holdObjects([...FIXED, ...objects]), 1);
+    objects.forEach((each) => expect(set.adapters.get(each.name)).to.deep.equal(each));
+    expect(set.adapters.get('house/aid-3000')).to.equal(undefined);
+    expect(set.adapters.get('house/aid-')).to.equal(undefined);
+    expect(set.adapters.size).to.equal(3000);
+  });
+});
--- a/core/set/mod.ts
+++ b/core/set/mod.ts
@@ -1,16 +1,39 @@
 /** The published set: its objects, checks and packed form. @module */
+export { SetAcceptance } from './acceptance.ts';
+export type { SetConflict, StampVerdict } from './acceptance.ts';
 export { checkSet } from './checkSet.ts';
 export type { SetCheck } from './checkSet.ts';
+export {
+  applyDifference,
+  compareHoldings,
+  formatDifference,
+  parseDifference,
+} from './difference.ts';
+export type { PartDifference, SetDifference } from './difference.ts';
+export { missingParts, SIDECAR_SCOPE } from './holding.ts';
+export type { Holding, Scope } from './holding.ts';
+export { formatManifest, manifestDigest, parseManifest } from './manifest.ts';
+export type { Manifest, Part } from './manifest.ts';
 export { OBJECT_KINDS } from './objects.ts';
 export type * from './objects.ts';
-export { HEAD_NAME, MAX_VALUE_BYTES, packSet, partName, setDigest, sha256 } from './packSet.ts';
+export { PackedTable } from './packedTable.ts';
+export {
+  differenceName,
+  HEAD_NAME,
+  holdObjects,
+  manifestName,
+  MAX_VALUE_BYTES,
+  packSet,
+  partName,
+} from './packSet.ts';
 export type { PackedSet, PackedValue, SetHead } from './packSet.ts';
 export { parseSet } from './parseSet.ts';
 export type { Declaration, ParsedSet, SetFile } from './parseSet.ts';
-export { indexSet } from './publishedSet.ts';
-export type { PublishedSet } from './publishedSet.ts';
+export { buildSet, indexSet } from './publishedSet.ts';
+export type { BuiltSet, PublishedSet, SetTable } from './publishedSet.ts';
 export { resolveModel } from './resolveModel.ts';
 export type { ResolvedModel } from './resolveModel.ts';
+export { sha256 } from './sha256.ts';
 export { parseHead, unpackSet } from './unpackSet.ts';
-export type { UnreadableValue } from './unpackSet.ts';
+export type { ReadValue, UnreadableValue } from './unpackSet.ts';
 export type { SetStamp } from '../link/mod.ts';
--- a/core/set/packSet.ts
+++ b/core/set/packSet.ts
@@ -1,5 +1,11 @@
-import { createHash } from 'node:crypto';
-import type { SetObject } from './objects.ts';
+import { bucketCount, bucketOf, formatLine, joinLines } from './_buckets.ts';
+import { formatDifference, compareHoldings } from './difference.ts';
+import type { Holding } from './holding.ts';
+import { formatManifest, manifestDigest } from './manifest.ts';
+import type { Part } from './manifest.ts';
+import { OBJECT_KINDS } from './objects.ts';
+import type { ObjectKind, SetObject } from './objects.ts';
+import { sha256 } from './sha256.ts';
 
 /** The largest value that the configuration service holds, in bytes. */
 export const MAX_VALUE_BYTES = 1_000_000;
@@ -7,49 +13,67 @@
 /** The name of the value that names all others. */
 export const HEAD_NAME = 'head';
 
-const PART_TARGET_BYTES = 64_000;
-
 /** The value that is put last and names a whole set. */
 export type SetHead = {
-  readonly format: 1;
+  readonly format: 2;
   readonly generation: number;
-  /** SHA-256 over the names of the parts, in hexadecimal. */
+  /** SHA-256 of the manifest, in hexadecimal. */
   readonly digest: string;
-  /** The SHA-256 of each part, in hexadecimal. */
-  readonly parts: readonly string[];
 };
 
 /** One value for the configuration service. */
 export type PackedValue = { readonly name: string; readonly text: string };
 
 /** All values of a set in the order in which they must be put. */
-export type PackedSet = { readonly head: SetHead; readonly values: readonly PackedValue[] };
-
-/** Returns the SHA-256 of a text in hexadecimal. */
-export function sha256(text: string): string {
-  return createHash('sha256').update(text).digest('hex');
-}
+export type PackedSet = {
+  readonly head: SetHead;
+  /** Without the parts that the previous set had as well. */
+  readonly values: readonly PackedValue[];
+  /** All parts. */
+  readonly holding: Holding;
+};
 
 /** Returns the name of the value that holds a part. */
 export function partName(digest: string): string {
   return `parts/${digest}`;
 }
 
-/** Returns the digest of a set whose parts have the given digests. */
-export function setDigest(parts: readonly string[]): string {
-  return sha256(parts.join('\n'));
+/** Returns the name of the value that lists the parts of a set. */
+export function manifestName(digest: string): string {
+  return `manifests/${digest}`;
 }
 
-/** Spreads lines over buckets by hash, so that one change touches one part. */
-function bucketLines(lines: readonly string[], names: readonly string[]): readonly string[][] {
-  const size = lines.reduce((sum, line) => sum + line.length + 1, 0);
-  const count = 2 ** Math.max(0, Math.ceil(Math.log2(size / PART_TARGET_BYTES)));
+/** Returns the name of the value that leads from one set to the next. */
+export function differenceName(fromDigest: string): string {
+  return `differences/${fromDigest}`;
+}
+
+function packKind(lines: readonly (readonly [string, string])[]): string[] {
+  const bytes = lines.reduce((sum, [, line]) => sum + line.length + 1, 0);
+  const count = lines.length === 0 ? 0 : bucketCount(bytes);
   const buckets: string[][] = Array.from({ length: count }, () => []);
-  lines.forEach((line, index) => {
-    const bucket = Number.parseInt(sha256(names[index]!).slice(0, 8), 16) % count;
-    buckets[bucket]!.push(line);
-  });
-  return buckets;
+  lines.forEach(([name, line]) => buckets[bucketOf(name, count)]!.push(line));
+  return buckets.map(joinLines);
+}
+
+/** Spreads the objects of a set over parts. */
+export function holdObjects(objects: readonly SetObject[]): Holding {
+  const byKind = new Map<ObjectKind, [string, string][]>();
+  for (const object of objects) {
+    const lines = byKind.get(object.kind) ?? [];
+    byKind.set(object.kind, lines);
+    lines.push([object.name, formatLine(object)]);
+  }
+  const parts: Part[] = [];
+  const texts = new Map<string, string>();
+  for (const kind of OBJECT_KINDS) {
+    for (const text of packKind(byKind.get(kind) ?? [])) {
+      const digest = sha256(text);
+      parts.push({ kind, digest });
+      texts.set(digest, text);
+    }
+  }
+  return { digest: manifestDigest(parts), manifest: parts, texts };
 }
 
 /**
@@ -57,19 +81,27 @@
  *
  * @param objects The objects of a set that passed its check.
  * @param generation Higher than that of the set in force.
- * @returns The parts, then the head.
+ * @param previous The set in force, to which a difference is written.
+ * @returns The new parts, the manifest, the difference, then the head.
  */
-export function packSet(objects: readonly SetObject[], generation: number): PackedSet {
-  const named = objects
-    .map((object) => ({ name: `${object.kind} ${object.name}`, line: JSON.stringify(object) }))
-    .sort((a, b) => (a.name < b.name ? -1 : 1));
-  const buckets = bucketLines(
-    named.map(({ line }) => line),
-    named.map(({ name }) => name),
-  );
-  const texts = buckets.map((lines) => lines.join('\n'));
-  const parts = texts.map(sha256);
-  const head: SetHead = { format: 1, generation, digest: setDigest(parts), parts };
-  const values = texts.map((text, index) => ({ name: partName(parts[index]!), text }));
-  return { head, values: [...values, { name: HEAD_NAME, text: JSON.stringify(head) }] };
+export function packSet(
+  objects: readonly SetObject[],
+  generation: number,
+  previous?: Holding,
+): PackedSet {
+  const holding = holdObjects(objects);
+  const { digest, manifest, texts } = holding;
+  const head: SetHead = { format: 2, generation, digest };
+  const parts = [...texts]
+    .filter(([part]) => previous?.texts.has(part) !== true)
+    .map(([part, text]) => ({ name: partName(part), text }));
+  const values = [...parts, { name: manifestName(digest), text: formatManifest(manifest) }];
+  const difference = previous === undefined ? undefined : compareHoldings(previous, holding);
+  if (difference !== undefined) {
+    const text = formatDifference(difference);
+    if (text.length <= MAX_VALUE_BYTES) {
+      values.push({ name: differenceName(difference.from), text });
+    }
+  }
+  return { head, values: [...values, { name: HEAD_NAME, text: JSON.stringify(head) }], holding };
 }
--- /dev/null
+++ b/core/set/packedTable.ts
@@ -0,0 +1,53 @@
+import { bucketOf, lineName, linePrefix, splitLines } from './_buckets.ts';
+import type { ObjectKind, SetObject } from './objects.ts';
+
+/**
+ * A table of objects that stay in the text of their parts until they are looked up.
+ *
+ * It takes the memory of the text alone, and a new set costs nothing but its changed parts.
+ */
+export class PackedTable<T extends SetObject> {
+  readonly #kind: ObjectKind;
+
+  readonly #texts: readonly string[];
+
+  /** @param texts The texts of all parts of the kind, in the order of their buckets. */
+  constructor(kind: T['kind'], texts: readonly string[]) {
+    this.#kind = kind;
+    this.#texts = texts;
+  }
+
+  /** The number of objects. */
+  get size(): number {
+    return this.#texts.reduce((sum, text) => sum + splitLines(text).length, 0);
+  }
+
+  /** Returns an object by name. */
+  get(name: string): T | undefined {
+    const text = this.#texts[bucketOf(name, this.#texts.length)];
+    if (text === undefined) return undefined;
+    const start = text.indexOf(linePrefix(this.#kind, name));
+    if (start === -1) return undefined;
+    const end = text.indexOf('\n', start);
+    return JSON.parse(text.slice(start, end === -1 ? undefined : end)) as T;
+  }
+
+  /** Tells whether there is an object of a name. */
+  has(name: string): boolean {
+    return this.get(name) !== undefined;
+  }
+
+  /** Reads all names without reading the objects. */
+  *keys(): Generator<string> {
+    for (const text of this.#texts) {
+      for (const line of splitLines(text)) yield lineName(line);
+    }
+  }
+
+  /** Reads all objects. */
+  *values(): Generator<T> {
+    for (const text of this.#texts) {
+      for (const line of splitLines(text)) yield JSON.parse(line) as T;
+    }
+  }
+}
--- a/programs/startEntry.ts
+++ b/programs/startEntry.ts
@@ -1,6 +1,7 @@
 import { nanoid } from 'nanoid';
 import { createCallerHandler } from '../entry/mod.ts';
 import { listenHttp, respondJson } from '../http/mod.ts';
+import { isWatcher } from '../core/membership/mod.ts';
 import type { Log } from '../log/mod.ts';
 import { createHttpConfiguration, createHttpHostList } from '../platform/mod.ts';
 import type { Settings } from '../settings/mod.ts';
@@ -46,8 +47,15 @@
     log,
   });
   const configuration = createHttpConfiguration(settings.platform.configuration);
-  const onSet = task.applySet.bind(task);
-  const setTask = new SetTask({ clock, configuration, log, onSet });
+  const setTask = new SetTask({
+    clock,
+    configuration,
+    log,
+    onSet: (set) => task.applySet(set),
+    send: (peer, frame) => task.sendSet(peer, frame),
+    isWatcher: () => isWatcher(task.members, { host, availabilityZone }),
+  });
+  task.followSetNews((news) => setTask.hear(news));
   const hostListTask = new HostListTask({
     clock,
     hostList: createHttpHostList(settings.platform.host_list),
--- a/programs/startSidecar.ts
+++ b/programs/startSidecar.ts
@@ -1,5 +1,6 @@
 import { nanoid } from 'nanoid';
 import { listenHttp, respondJson } from '../http/mod.ts';
+import { SIDECAR_SCOPE } from '../core/set/mod.ts';
 import type { Log } from '../log/mod.ts';
 import { createHttpConfiguration } from '../platform/mod.ts';
 import type { Settings } from '../settings/mod.ts';
@@ -43,8 +44,17 @@
     log,
   });
   const configuration = createHttpConfiguration(settings.platform.configuration);
-  const onSet = task.applySet.bind(task);
-  const setTask = new SetTask({ clock, configuration, log, onSet });
+  const setTask = new SetTask({
+    clock,
+    configuration,
+    log,
+    onSet: (set) => task.applySet(set),
+    send: (peer, frame) => task.sendSet(peer, frame),
+    isWatcher: () => false,
+    forwards: true,
+    scope: SIDECAR_SCOPE,
+  });
+  task.followSetNews((news) => setTask.hear(news));
   const links = await listenWebSocket(settings.listen.links, (peer) => task.accept(peer));
   const admin = await listenHttp(settings.listen.admin, (_request, response) =>
     respondJson(response, 200, task.status()),
--- a/scenario/world/virtualWorld.ts
+++ b/scenario/world/virtualWorld.ts
@@ -3,13 +3,15 @@
 import { createVirtualClock } from '../../core/clock/mod.ts';
 import type { Clock, Milliseconds, VirtualClock } from '../../core/clock/mod.ts';
 import type { Identity } from '../../core/link/mod.ts';
+import { isWatcher } from '../../core/membership/mod.ts';
 import type { ListedHost } from '../../core/membership/mod.ts';
-import { checkSet, packSet, parseSet } from '../../core/set/mod.ts';
+import { checkSet, packSet, parseSet, SIDECAR_SCOPE } from '../../core/set/mod.ts';
 import type { Log, LogEventName, LogFields } from '../../log/mod.ts';
 import { ConfigurationModel } from '../../standins/mod.ts';
 import { EntryTask } from '../../tasks/entry/mod.ts';
 import { HostListTask } from '../../tasks/hostListTask.ts';
 import { SetTask } from '../../tasks/set/mod.ts';
+import type { SetTaskOptions } from '../../tasks/set/mod.ts';
 import { SidecarTask } from '../../tasks/sidecar/mod.ts';
 import type { Backend } from '../../tasks/sidecar/mod.ts';
 import { ProcessGate } from './processGate.ts';
@@ -115,7 +117,12 @@
       dial: this.network.dialFrom(endpoint),
       log,
     });
-    this.#watchSet(clock, log, task);
+    const setTask = new SetTask({
+      ...this.#setOptions(clock, log, task),
+      isWatcher: () => isWatcher(task.members, { host, availabilityZone: 'az-1' }),
+    });
+    task.followSetNews((news) => setTask.hear(news));
+    setTask.start();
     new HostListTask({
       clock,
       hostList: { read: () => Promise.resolve(this.hosts) },
@@ -140,8 +147,15 @@
       nonce: () => this.nonce(),
       log,
     });
+    const setTask = new SetTask({
+      ...this.#setOptions(clock, log, task),
+      isWatcher: () => false,
+      forwards: true,
+      scope: SIDECAR_SCOPE,
+    });
+    task.followSetNews((news) => setTask.hear(news));
     this.network.listen(host, endpoint, (peer) => task.accept(peer));
-    this.#watchSet(clock, log, task);
+    setTask.start();
     task.start();
     return this.#process(endpoint, identity, task);
   }
@@ -195,9 +209,15 @@
     return (event, fields = {}) => this.#options.onLog?.(this.clock.now(), host, event, fields);
   }
 
-  #watchSet(clock: Clock, log: Log, task: EntryTask | SidecarTask): void {
-    const onSet = task.applySet.bind(task);
-    new SetTask({ clock, configuration: this.configuration, log, onSet }).start();
+  #setOptions(clock: Clock, log: Log, task: EntryTask | SidecarTask): SetTaskOptions {
+    return {
+      clock,
+      configuration: this.configuration,
+      log,
+      onSet: (set) => task.applySet(set),
+      send: (peer, frame) => task.sendSet(peer, frame),
+      random: () => this.randomBelow(NONCE_LIMIT) / NONCE_LIMIT,
+    };
   }
 
   #process<T extends EntryTask | SidecarTask>(
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../../core/clock/mod.ts';
 import type { ExchangeName } from '../../core/identity/mod.ts';
-import type { ExchangeEvent, Identity, LinkTiming } from '../../core/link/mod.ts';
+import type { ExchangeEvent, Identity, LinkTiming, SetFrame } from '../../core/link/mod.ts';
 import { Membership } from '../../core/membership/mod.ts';
 import type { ListedHost, MembershipChange } from '../../core/membership/mod.ts';
 import { failed, isRetryable, notRun, unknown } from '../../core/outcome/mod.ts';
@@ -12,6 +12,7 @@
 import type { Handlers } from '../_handlers.ts';
 import { Mailbox } from '../mailbox/mod.ts';
 import type { Dial } from '../ports/mod.ts';
+import type { SetNews } from '../set/mod.ts';
 import { checkWhole, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestFacts } from './_openRequest.ts';
 import { planCall } from './_planCall.ts';
@@ -77,6 +78,8 @@
 
   #onEmpty: (() => void) | undefined;
 
+  #onSetNews: ((news: SetNews) => void) | undefined;
+
   constructor(options: EntryTaskOptions) {
     this.#options = options;
     this.#mailbox = new Mailbox<Message>({
@@ -95,6 +98,16 @@
     this.#mailbox.post({ kind: 'set', set });
   }
 
+  /** Sets who is told what the links say of the set. */
+  followSetNews(onSetNews: (news: SetNews) => void): void {
+    this.#onSetNews = onSetNews;
+  }
+
+  /** Sends a frame of the set to a sidecar. */
+  sendSet(host: string, frame: SetFrame): void {
+    this.#links.get(host)?.sendSet(frame);
+  }
+
   /** Serves a request; its events end with exactly one `final`. */
   submit(submission: Submission): void {
     this.#mailbox.post({ kind: 'submit', submission });
@@ -129,6 +142,11 @@
     };
   }
 
+  /** The hosts that the platform lists. */
+  get members(): readonly ListedHost[] {
+    return this.#membership.members;
+  }
+
   /** Returns the names that a caller may use as `model`. */
   modelsOf(tokenSha256: string): readonly string[] {
     const set = this.#set;
@@ -156,6 +174,7 @@
       this.#checkEmpty();
     },
     'link-status': ({ status }) => this.#noteStatus(status),
+    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', host, frame }),
     'exchange-event': ({ exchange, event }) => this.#noteEvent(exchange, event),
   };
 
@@ -197,6 +216,7 @@
     this.#links.get(host)?.stop();
     this.#links.delete(host);
     this.#statuses.delete(host);
+    this.#onSetNews?.({ kind: 'peer-gone', host });
     for (const request of [...this.#requests.values()]) {
       if (request.host === host) {
         const detail = `${host} left the host list after the request was sent`;
@@ -208,6 +228,10 @@
   #noteStatus(status: LinkStatus): void {
     if (!this.#links.has(status.host)) return;
     this.#statuses.set(status.host, status);
+    const { host, health, peerSet: set } = status;
+    this.#onSetNews?.(
+      health === 'ready' ? { kind: 'peer-set', host, set } : { kind: 'peer-gone', host },
+    );
     if (status.report.leaving) {
       this.#membership.announceLeaving(status.host, status.incarnation);
     }
--- a/tasks/entry/linkTask.ts
+++ b/tasks/entry/linkTask.ts
@@ -9,6 +9,7 @@
   ExchangeEvent,
   LinkHealth,
   LoadReport,
+  SetFrame,
   SetStamp,
   SidecarFrame,
 } from '../../core/link/mod.ts';
@@ -31,6 +32,7 @@
 /** What a `LinkTask` tells its owner. */
 export type LinkNews =
   | { readonly kind: 'link-status'; readonly status: LinkStatus }
+  | { readonly kind: 'set-frame'; readonly host: string; readonly frame: SetFrame }
   | {
       readonly kind: 'exchange-event';
       readonly exchange: ExchangeName;
@@ -53,6 +55,7 @@
   | { readonly kind: 'received'; readonly epoch: Epoch; readonly bytes: Uint8Array }
   | { readonly kind: 'closed'; readonly epoch: Epoch }
   | { readonly kind: 'set'; readonly set: SetStamp }
+  | { readonly kind: 'send-set'; readonly frame: SetFrame }
   | {
       readonly kind: 'submit';
       readonly exchange: ExchangeName;
@@ -124,6 +127,11 @@
     this.#mailbox.post({ kind: 'set', set });
   }
 
+  /** Sends a frame of the set. */
+  sendSet(frame: SetFrame): void {
+    this.#mailbox.post({ kind: 'send-set', frame });
+  }
+
   readonly #handlers: Handlers<Message, readonly EntryLinkAction[]> = {
     tick: () => this.#link.tick(this.#now()),
     opened: ({ epoch }) => this.#link.opened(epoch),
@@ -136,6 +144,7 @@
       this.#link.noteSet(set);
       return [];
     },
+    'send-set': ({ frame }) => this.#link.sendSet(frame),
     submit: ({ exchange, call, generation, deadline }) => {
       const now = this.#now();
       return this.#link.submit(exchange, call, { generation, budgetMs: deadline - now }, now);
@@ -170,6 +179,8 @@
     },
     deliver: ({ exchange, event }) =>
       this.#options.onNews({ kind: 'exchange-event', exchange, event }),
+    'set-frame': ({ frame }) =>
+      this.#options.onNews({ kind: 'set-frame', host: this.#options.target, frame }),
     ready: ({ epoch }) => this.#options.log('linkReady', { peer: this.#options.target, epoch }),
     suspected: ({ silentMs }) =>
       this.#options.log('linkSuspected', { peer: this.#options.target, silentMs }),
--- a/tasks/set/mod.ts
+++ b/tasks/set/mod.ts
@@ -1,3 +1,3 @@
-/** How a published set reaches a process. @module */
+/** Keeps the published set of a process in force. @module */
 export { SetTask } from './setTask.ts';
-export type { SetTaskOptions } from './setTask.ts';
+export type { SetNews, SetStatus, SetTaskOptions } from './setTask.ts';
--- /dev/null
+++ b/tasks/set/setTask.test.ts
@@ -0,0 +1,257 @@
+import { expect } from 'chai';
+import { createVirtualClock } from '../../core/clock/mod.ts';
+import type { VirtualClock } from '../../core/clock/mod.ts';
+import type { SetFrame } from '../../core/link/mod.ts';
+import { packSet, SIDECAR_SCOPE } from '../../core/set/mod.ts';
+import type { PackedSet, PublishedSet, SetObject } from '../../core/set/mod.ts';
+import { ConfigurationModel } from '../../standins/mod.ts';
+import { SetTask } from './mod.ts';
+
+const HEARTBEAT_MS = 250;
+
+const IN_FORCE_WITHIN_MS = 12_000;
+
+function objectsOf(version: number): readonly SetObject[] {
+  return [
+    { kind: 'tenant', name: 't' },
+    {
+      kind: 'adapter',
+      name: 't/a',
+      tenant: 't',
+      pool: 'p',
+      versions: [`${version}`],
+      shared: false,
+    },
+    { kind: 'limit', name: 't', requestsPerSecond: version, requestsInFlight: 0 },
+  ];
+}
+
+type Process = {
+  readonly task: SetTask;
+  readonly sets: PublishedSet[];
+  readonly conflicts: unknown[];
+};
+
+/** Set tasks joined pair by pair as entries and sidecars are, each with its own service. */
+class Fleet {
+  readonly clock: VirtualClock = createVirtualClock();
+
+  readonly services = new Map<string, ConfigurationModel>();
+
+  readonly processes = new Map<string, Process>();
+
+  readonly cut = new Set<string>();
+
+  add(host: string, watches: boolean, service = this.addService(host)): Process {
+    const isSidecar = host.startsWith('sidecar');
+    const sets: PublishedSet[] = [];
+    const conflicts: unknown[] = [];
+    const task = new SetTask({
+      clock: this.clock,
+      configuration: service,
+      log: (event) => {
+        if (event === 'setConflict') conflicts.push(event);
+      },
+      onSet: (set) => sets.push(set),
+      send: (peer, frame) => this.#send(host, peer, frame),
+      isWatcher: () => watches,
+      forwards: isSidecar,
+      random: () => 0.5,
+      ...(isSidecar ? { scope: SIDECAR_SCOPE } : {}),
+    });
+    const process = { task, sets, conflicts };
+    this.processes.set(host, process);
+    task.start();
+    return process;
+  }
+
+  addService(host: string): ConfigurationModel {
+    const service = new ConfigurationModel(this.clock);
+    this.services.set(host, service);
+    return service;
+  }
+
+  put({ values }: PackedSet, hosts = [...this.services.keys()]): void {
+    hosts.forEach((host) =>
+      values.forEach(({ name, text }) => this.services.get(host)!.put(name, text)),
+    );
+  }
+
+  async advance(time: number): Promise<void> {
+    const target = this.clock.now() + time;
+    for (let next = this.clock.now(); next <= target; next += HEARTBEAT_MS) {
+      await this.#runUntil(next);
+      this.#beat();
+    }
+    await this.#runUntil(target);
+  }
+
+  generations(): readonly number[] {
+    return [...this.processes.values()].map(({ task }) => task.status().generation);
+  }
+
+  async #runUntil(target: number): Promise<void> {
+    for (;;) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+      const due = this.clock.nextDue();
+      if (due === undefined || due > target) break;
+      this.clock.runNext();
+    }
+    this.clock.moveTo(target);
+  }
+
+  #linked(a: string, b: string): boolean {
+    return a.startsWith('entry') !== b.startsWith('entry') && !this.cut.has(a) && !this.cut.has(b);
+  }
+
+  #beat(): void {
+    for (const [from, { task }] of this.processes) {
+      const { generation, digest } = task.status();
+      const set = { generation, digest };
+      for (const [to, peer] of this.processes) {
+        if (this.#linked(from, to)) peer.task.hear({ kind: 'peer-set', host: from, set });
+      }
+    }
+  }
+
+  #send(from: string, to: string, frame: SetFrame): void {
+    this.clock.schedule(1, () => {
+      const peer = this.processes.get(to);
+      if (this.#linked(from, to)) peer?.task.hear({ kind: 'peer-frame', host: from, frame });
+    });
+  }
+}
+
+const first = packSet(objectsOf(1), 1);
+
+const second = packSet(objectsOf(2), 2, first.holding);
+
+/** All parts, for a service that does not hold those of the first set. */
+const wholeSecond = packSet(objectsOf(2), 2);
+
+/** Two watching entries, two that do not watch and two sidecars. */
+function startFleet(): Fleet {
+  const fleet = new Fleet();
+  ['entry-1', 'entry-2'].forEach((host) => fleet.add(host, true));
+  ['entry-3', 'entry-4', 'sidecar-1', 'sidecar-2'].forEach((host) => fleet.add(host, false));
+  return fleet;
+}
+
+describe('SetTask', () => {
+  describe('a set put into the service', () => {
+    it('is in force everywhere in time, half of the processes cut off from the service', async () => {
+      const fleet = startFleet();
+      ['entry-2', 'entry-3', 'sidecar-1'].forEach((host) =>
+        fleet.services.get(host)!.setDown(true),
+      );
+      fleet.put(first);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(fleet.generations()).to.deep.equal([1, 1, 1, 1, 1, 1]);
+      fleet.put(second);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(fleet.generations()).to.deep.equal([2, 2, 2, 2, 2, 2]);
+      const { sets } = fleet.processes.get('entry-3')!;
+      expect(sets.at(-1)!.adapters.get('t/a')!.versions).to.deep.equal(['2']);
+    });
+
+    it('costs calls of the watchers only', async () => {
+      const fleet = startFleet();
+      fleet.put(first);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      const before = fleet.services.get('entry-3')!.reads;
+      fleet.put(second);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(fleet.generations()).to.deep.equal([2, 2, 2, 2, 2, 2]);
+      expect(fleet.services.get('entry-3')!.reads).to.equal(before);
+    });
+  });
+
+  describe('a process that starts', () => {
+    it('takes the set of its peers while the service is down', async () => {
+      const fleet = startFleet();
+      fleet.put(first);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      fleet.services.forEach((service) => service.setDown(true));
+      const service = fleet.addService('entry-5');
+      service.setDown(true);
+      const late = fleet.add('entry-5', true, service);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(late.task.status().generation).to.equal(1);
+      expect(late.sets[0]!.adapters.get('t/a')).to.not.equal(undefined);
+    });
+
+    it('is brought forward by its peers when the service is stale', async () => {
+      const fleet = startFleet();
+      fleet.put(wholeSecond);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      const service = fleet.addService('entry-5');
+      fleet.put(first, ['entry-5']);
+      const late = fleet.add('entry-5', true, service);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(late.task.status().generation).to.equal(2);
+      expect(fleet.generations()).to.deep.equal([2, 2, 2, 2, 2, 2, 2]);
+    });
+  });
+
+  describe('a service that goes back', () => {
+    it('changes nothing when it is stale or restarted empty', async () => {
+      const fleet = startFleet();
+      fleet.put(wholeSecond);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      fleet.put(first);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      const service = new ConfigurationModel(fleet.clock);
+      fleet.add('entry-5', true, service);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(fleet.generations()).to.deep.equal([2, 2, 2, 2, 2, 2, 2]);
+      fleet.processes.forEach(({ sets }) => {
+        const generations = sets.map(({ generation }) => generation);
+        expect(generations).to.deep.equal([...generations].sort((a, b) => a - b));
+      });
+    });
+  });
+
+  describe('two sets of one generation', () => {
+    it('raise an alarm everywhere and are taken by nobody who knows of both', async () => {
+      const fleet = startFleet();
+      fleet.put(first, ['entry-1', 'entry-3']);
+      fleet.put(packSet(objectsOf(9), 1), ['entry-2', 'entry-4']);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      const late = fleet.add('entry-5', false);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(late.task.status().generation).to.equal(0);
+      fleet.processes.forEach(({ conflicts, task }) => {
+        expect(task.status().conflict?.digests).to.have.length(2);
+        expect(conflicts).to.have.length(1);
+      });
+    });
+
+    it('end with a higher generation', async () => {
+      const fleet = startFleet();
+      fleet.put(first, ['entry-1', 'entry-3']);
+      fleet.put(packSet(objectsOf(9), 1), ['entry-2', 'entry-4']);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      fleet.put(second);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(fleet.generations()).to.deep.equal([2, 2, 2, 2, 2, 2]);
+      fleet.processes.forEach(({ task }) => expect(task.status().conflict).to.equal(undefined));
+    });
+  });
+
+  describe('a partition', () => {
+    it('is made up for once it heals', async () => {
+      const fleet = startFleet();
+      fleet.put(first);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      ['entry-3', 'sidecar-2'].forEach((host) => fleet.cut.add(host));
+      fleet.put(second);
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(fleet.generations()).to.deep.equal([2, 2, 1, 2, 2, 1]);
+      fleet.cut.clear();
+      await fleet.advance(IN_FORCE_WITHIN_MS);
+      expect(fleet.generations()).to.deep.equal([2, 2, 2, 2, 2, 2]);
+    });
+  });
+});
--- a/tasks/set/setTask.ts
+++ b/tasks/set/setTask.ts
@@ -1,8 +1,27 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
-import { HEAD_NAME, parseHead, partName, unpackSet } from '../../core/set/mod.ts';
-import type { PublishedSet, SetHead, SetStamp, UnreadableValue } from '../../core/set/mod.ts';
+import type { SetFrame } from '../../core/link/mod.ts';
+import { HEAD_NAME, OBJECT_KINDS, parseHead, SetAcceptance } from '../../core/set/mod.ts';
+import type {
+  PublishedSet,
+  ReadValue,
+  Scope,
+  SetConflict,
+  SetHead,
+  SetStamp,
+} from '../../core/set/mod.ts';
 import type { Log } from '../../log/mod.ts';
-import type { Configuration, ConfigurationValue } from '../ports/mod.ts';
+import { dispatch } from '../_handlers.ts';
+import type { Handlers } from '../_handlers.ts';
+import type { Configuration } from '../ports/mod.ts';
+import { PeerReads } from './_peerReads.ts';
+import { SetStore } from './_setStore.ts';
+
+/** What the owner of links tells a `SetTask`. */
+export type SetNews =
+  /** A peer has a set in force. */
+  | { readonly kind: 'peer-set'; readonly host: string; readonly set: SetStamp }
+  | { readonly kind: 'peer-frame'; readonly host: string; readonly frame: SetFrame }
+  | { readonly kind: 'peer-gone'; readonly host: string };
 
 /** How to build a `SetTask`. */
 export type SetTaskOptions = {
@@ -11,27 +30,84 @@
   readonly log: Log;
   /** Told of each set that comes into force, in rising order of generation. */
   readonly onSet: (set: PublishedSet) => void;
+  /** Sends a frame to a peer. @default drops it */
+  readonly send?: (host: string, frame: SetFrame) => void;
+  /** Tells whether this process watches the configuration service. @default always */
+  readonly isWatcher?: () => boolean;
+  /** Whether values that are not held here are asked of other peers. @default false */
+  readonly forwards?: boolean;
+  /** The kinds of objects that this process needs. @default all */
+  readonly scope?: Scope;
+  /** Returns a number from 0 to 1, which spreads readings over time. @default Math.random */
+  readonly random?: () => number;
   /** Pause after the configuration service failed. @default 1000 */
   readonly retryMs?: Milliseconds;
+  /** Time between readings of a process that does not watch. @default 300000 */
+  readonly pollMs?: Milliseconds;
+};
+
+/** What a `SetTask` tells of itself. */
+export type SetStatus = SetStamp & {
+  /** Two sets of one generation, until a higher generation is in force. */
+  readonly conflict: SetConflict | undefined;
 };
 
-/** Watches the configuration service and takes each higher generation whose parts all check. */
+/** Time after which a process looks again whether it has become a watcher. */
+const WATCHER_CHECK_MS: Milliseconds = 1000;
+
+/** Time after which a peer is told of a conflict again. */
+const CONFLICT_REMINDER_MS: Milliseconds = 10_000;
+
+/** Time over which the first readings of processes that do not watch are spread. */
+const START_SPREAD_MS: Milliseconds = 2000;
+
+/** Takes each higher generation from the configuration service or a peer and never goes back. */
 export class SetTask {
-  readonly #options: SetTaskOptions;
+  readonly #options: Required<SetTaskOptions>;
+
+  readonly #acceptance = new SetAcceptance();
+
+  readonly #store: SetStore;
+
+  readonly #peerReads: PeerReads;
+
+  readonly #peers = new Map<string, SetStamp>();
+
+  /** Peers whose set could not be read, with the time until which they are not asked. */
+  readonly #failedUntil = new Map<string, Milliseconds>();
+
+  #isReadingPeer = false;
+
+  #nextPoll: Milliseconds = 0;
+
+  #failures = 0;
 
-  readonly #parts = new Map<string, string>();
+  #loggedConflict = 0;
 
-  #inForce: SetStamp = { generation: 0, digest: '' };
+  /** When each peer was last told of the conflict. */
+  readonly #toldConflict = new Map<string, Milliseconds>();
 
   #stopped = false;
 
   constructor(options: SetTaskOptions) {
-    this.#options = options;
+    this.#options = {
+      send: () => undefined,
+      isWatcher: () => true,
+      forwards: false,
+      scope: new Set(OBJECT_KINDS),
+      random: Math.random,
+      retryMs: 1000,
+      pollMs: 300_000,
+      ...options,
+    };
+    this.#store = new SetStore(this.#options.scope);
+    this.#peerReads = new PeerReads(this.#options);
   }
 
-  /** Starts to watch. */
+  /** Starts to read and watch; a process that does not watch leaves its peers time to answer. */
   start(): void {
-    this.#readHead('').catch(() => undefined);
+    const { isWatcher, random } = this.#options;
+    this.#readServiceAfter(isWatcher() ? 0 : START_SPREAD_MS * random(), '');
   }
 
   /** Stops watching. */
@@ -39,66 +115,204 @@
     this.#stopped = true;
   }
 
-  async #readHead(revision: string): Promise<void> {
+  /** Takes news from the links. */
+  hear(news: SetNews): void {
+    if (!this.#stopped) dispatch(this.#handlers, news);
+  }
+
+  /** Returns a snapshot for operators. */
+  status(): SetStatus {
+    return { ...this.#acceptance.inForce, conflict: this.#acceptance.conflict };
+  }
+
+  readonly #handlers: Handlers<SetNews, void> = {
+    'peer-set': ({ host, set }) => {
+      this.#peers.set(host, set);
+      if (set.generation > 0) this.#judge(set);
+      this.#tellConflict(host);
+      this.#readPeers();
+    },
+    'peer-frame': ({ host, frame }) => this.#takeFrame(host, frame),
+    'peer-gone': ({ host }) => {
+      this.#peers.delete(host);
+      this.#failedUntil.delete(host);
+      this.#peerReads.gone(host);
+    },
+  };
+
+  async #readService(revision: string): Promise<void> {
+    const { configuration, log, pollMs, random, retryMs } = this.#options;
     if (this.#stopped) return;
-    const { configuration, clock, log, retryMs = 1000 } = this.#options;
     try {
       const value =
         revision === ''
           ? await configuration.read(HEAD_NAME)
           : await configuration.watch(HEAD_NAME, revision);
-      const taken = value === undefined || (await this.#takeHead(value));
-      const wait = value === undefined || !taken;
-      clock.schedule(wait ? retryMs : 0, () => {
-        this.#readHead(taken ? (value?.revision ?? '') : '').catch(() => undefined);
-      });
+      const source: ReadValue = async (name) => (await configuration.read(name))?.text;
+      const taken = value !== undefined && (await this.#takeHead(value.text, source));
+      this.#failures = taken ? 0 : this.#failures + 1;
+      this.#nextPoll = this.#options.clock.now() + pollMs * (0.5 + random());
+      this.#readServiceAfter(taken ? 0 : this.#backoff(retryMs), taken ? value.revision : '');
     } catch (error) {
       log('configurationDown', { detail: String(error) });
-      clock.schedule(retryMs, () => {
-        this.#readHead('').catch(() => undefined);
-      });
+      this.#failures += 1;
+      this.#readServiceAfter(this.#backoff(retryMs), '');
     }
   }
 
+  /** Watchers try again after a fixed pause, all others after growing, spread ones. */
+  #backoff(retryMs: Milliseconds): Milliseconds {
+    const { isWatcher, pollMs, random } = this.#options;
+    if (isWatcher()) return retryMs;
+    const grown = Math.min(pollMs, retryMs * 2 ** Math.min(this.#failures, 16));
+    this.#nextPoll = 0;
+    return grown * (0.5 + random());
+  }
+
+  #readServiceAfter(pause: Milliseconds, revision: string): void {
+    const { clock, isWatcher } = this.#options;
+    clock.schedule(pause, () => {
+      if (this.#stopped) return;
+      if (isWatcher() || clock.now() >= this.#nextPoll) {
+        this.#readService(isWatcher() ? revision : '').catch(() => undefined);
+        return;
+      }
+      this.#readServiceAfter(WATCHER_CHECK_MS, revision);
+    });
+  }
+
   /** Takes a head if it is newer; returns false when it should be read again. */
-  async #takeHead(value: ConfigurationValue): Promise<boolean> {
-    const head = parseHead(value.text);
-    if ('kind' in head) return this.#reject(head);
-    const { generation, digest } = this.#inForce;
-    if (head.generation < generation) return true;
-    if (head.generation === generation) {
-      if (head.digest !== digest) this.#options.log('setConflict', { generation });
-      return true;
+  async #takeHead(text: string, source: ReadValue): Promise<boolean> {
+    const head = parseHead(text);
+    if ('kind' in head) {
+      this.#options.log('setUnreadable', { detail: head.detail });
+      return false;
     }
-    const set = await this.#readSet(head);
-    if ('kind' in set) return this.#reject(set);
-    if (this.#stopped) return true;
-    this.#inForce = { generation: set.generation, digest: set.digest };
+    return this.#judge(head) !== 'newer' || this.#readHead(head, source);
+  }
+
+  async #readHead(head: SetHead, source: ReadValue): Promise<boolean> {
+    const read = await this.#store.read(head, source);
+    if (read.kind === 'unreadable') {
+      this.#options.log('setUnreadable', { detail: read.detail });
+      return false;
+    }
+    if (this.#stopped || !this.#acceptance.take(head)) return true;
+    const set = this.#store.take(read);
     this.#options.log('setTaken', { generation: set.generation, digest: set.digest });
     this.#options.onSet(set);
     return true;
   }
 
-  #reject(value: UnreadableValue): false {
-    this.#options.log('setUnreadable', { detail: value.detail });
-    return false;
+  #judge(stamp: SetStamp): ReturnType<SetAcceptance['hear']> {
+    const verdict = this.#acceptance.hear(stamp);
+    const { conflict } = this.#acceptance;
+    if (conflict !== undefined && conflict.generation !== this.#loggedConflict) {
+      this.#loggedConflict = conflict.generation;
+      this.#toldConflict.clear();
+      this.#options.log('setConflict', {
+        generation: conflict.generation,
+        digests: conflict.digests.join(', '),
+      });
+    }
+    return verdict;
   }
 
-  async #readSet(head: SetHead): Promise<PublishedSet | UnreadableValue> {
-    const missing = head.parts.filter((digest) => !this.#parts.has(digest));
-    const values = await Promise.all(
-      missing.map((digest) => this.#options.configuration.read(partName(digest))),
-    );
-    values.forEach((value, index) => {
-      if (value !== undefined) this.#parts.set(missing[index]!, value.text);
+  /** Reads the newest set that a peer has, one reading at a time. */
+  #readPeers(): void {
+    const host = this.#newestPeer();
+    if (this.#isReadingPeer || host === undefined) return;
+    this.#isReadingPeer = true;
+    this.#readPeer(host)
+      .catch(() => {
+        this.#peers.delete(host);
+        return false;
+      })
+      .then((taken) => {
+        this.#isReadingPeer = false;
+        if (!taken) this.#postpone(host);
+        if (!this.#stopped) this.#readPeers();
+      })
+      .catch((error: unknown) => this.#options.log('internalError', { detail: String(error) }));
+  }
+
+  async #readPeer(host: string): Promise<boolean> {
+    const source: ReadValue = (name) => this.#peerReads.read(host, name);
+    const text = await source(HEAD_NAME);
+    if (text === undefined) return false;
+    const before = this.#acceptance.inForce.generation;
+    return (await this.#takeHead(text, source)) && this.#acceptance.inForce.generation > before;
+  }
+
+  /** Leaves a peer out for a while, then looks at it again. */
+  #postpone(host: string): void {
+    const { clock, retryMs } = this.#options;
+    this.#failedUntil.set(host, clock.now() + retryMs);
+    clock.schedule(retryMs, () => {
+      if (!this.#stopped) this.#readPeers();
     });
-    const set = unpackSet(head, this.#parts);
-    const wanted = new Set(head.parts);
-    [...this.#parts.keys()]
-      .filter((digest) => !wanted.has(digest))
-      .forEach((digest) => {
-        this.#parts.delete(digest);
-      });
-    return set;
+  }
+
+  #newestPeer(): string | undefined {
+    const now = this.#options.clock.now();
+    const { inForce, conflict } = this.#acceptance;
+    const newer = [...this.#peers].filter(
+      ([host, { generation }]) =>
+        generation > inForce.generation &&
+        generation !== conflict?.generation &&
+        (this.#failedUntil.get(host) ?? 0) <= now,
+    );
+    return newer.sort(([, a], [, b]) => b.generation - a.generation)[0]?.[0];
+  }
+
+  /** Tells a peer of the conflict, from time to time in case it restarts. */
+  #tellConflict(host: string): void {
+    const { conflict } = this.#acceptance;
+    const now = this.#options.clock.now();
+    if (conflict === undefined || now < (this.#toldConflict.get(host) ?? 0)) return;
+    this.#toldConflict.set(host, now + CONFLICT_REMINDER_MS);
+    this.#options.send(host, { kind: 'set-conflict', ...conflict });
+  }
+
+  readonly #frameHandlers: {
+    readonly [K in SetFrame['kind']]: (host: string, frame: Extract<SetFrame, { kind: K }>) => void;
+  } = {
+    'set-read': (host, { name }) => this.#serve(host, name),
+    'set-value': (host, { name, text }) => this.#peerReads.answered(host, name, text ?? undefined),
+    'set-conflict': (_host, { generation, digests }) =>
+      digests.forEach((digest) => this.#judge({ generation, digest })),
+  };
+
+  #takeFrame(host: string, frame: SetFrame): void {
+    const handler = this.#frameHandlers[frame.kind] as (from: string, each: SetFrame) => void;
+    handler(host, frame);
+  }
+
+  #serve(host: string, name: string): void {
+    const held = this.#store.find(name);
+    const forwardTo = held === undefined ? this.#forwardTarget(host) : undefined;
+    if (forwardTo === undefined) {
+      this.#answer(host, name, held);
+      return;
+    }
+    this.#peerReads
+      .read(forwardTo, name)
+      .catch(() => undefined)
+      .then((text) => this.#answer(host, name, text))
+      .catch((error: unknown) => this.#options.log('internalError', { detail: String(error) }));
+  }
+
+  #answer(host: string, name: string, text: string | undefined): void {
+    this.#options.send(host, { kind: 'set-value', name, text: text ?? null });
+  }
+
+  /** Returns the peer that most likely holds what another peer asks for. */
+  #forwardTarget(asking: string): string | undefined {
+    if (!this.#options.forwards) return undefined;
+    const others = [...this.#peers].filter(
+      ([host, { generation }]) =>
+        host !== asking && generation >= this.#acceptance.inForce.generation,
+    );
+    return others.sort(([, a], [, b]) => b.generation - a.generation)[0]?.[0];
   }
 }
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -8,6 +8,7 @@
   ExchangeEvent,
   Identity,
   LoadReport,
+  SetFrame,
   SetStamp,
   SidecarLinksAction,
 } from '../../core/link/mod.ts';
@@ -19,6 +20,7 @@
 import type { Handlers } from '../_handlers.ts';
 import { Mailbox } from '../mailbox/mod.ts';
 import type { Connection, ConnectionEvents, Engine, PlainService } from '../ports/mod.ts';
+import type { SetNews } from '../set/mod.ts';
 import { EngineRunner } from './engineRunner.ts';
 import type { EngineMessage } from './engineRunner.ts';
 import { isKeyedCall, ServiceRunner } from './serviceRunner.ts';
@@ -63,6 +65,7 @@
     }
   | { readonly kind: 'closed'; readonly number: ConnectionNumber }
   | { readonly kind: 'set'; readonly set: PublishedSet }
+  | { readonly kind: 'send-set'; readonly host: string; readonly frame: SetFrame }
   | { readonly kind: 'tick' }
   | { readonly kind: 'leave'; readonly onEmpty: () => void }
   | EngineMessage
@@ -95,6 +98,8 @@
 
   #onEmpty: (() => void) | undefined;
 
+  #onSetNews: ((news: SetNews) => void) | undefined;
+
   constructor(options: SidecarTaskOptions) {
     this.#options = options;
     const { identity, linkKeys, nonce, heartbeatMs = 250 } = options;
@@ -146,6 +151,16 @@
     this.#mailbox.post({ kind: 'set', set });
   }
 
+  /** Sets who is told what the links say of the set. */
+  followSetNews(onSetNews: (news: SetNews) => void): void {
+    this.#onSetNews = onSetNews;
+  }
+
+  /** Sends a frame of the set to an entry. */
+  sendSet(host: string, frame: SetFrame): void {
+    this.#mailbox.post({ kind: 'send-set', host, frame });
+  }
+
   /** Refuses new work and calls `onEmpty` once all work has ended and entries know it. */
   leave(onEmpty: () => void): void {
     this.#mailbox.post({ kind: 'leave', onEmpty });
@@ -173,6 +188,7 @@
       this.#links.closed(number);
     },
     set: ({ set }) => this.#takeSet(set),
+    'send-set': ({ host, frame }) => this.#perform(this.#links.sendSet(host, frame)),
     tick: () => {
       this.#engineRunner?.tick();
       this.#perform(this.#links.tick(this.#now()));
@@ -262,7 +278,8 @@
     },
     run: ({ exchange, call, deadline }) => this.#run(exchange, call, deadline),
     cancel: ({ exchange }) => this.#engineRunner?.cancel(exchange),
-    'peer-set': () => undefined,
+    'peer-set': ({ host, set }) => this.#onSetNews?.({ kind: 'peer-set', host, set }),
+    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', host, frame }),
     refused: ({ detail }) => this.#options.log('linkRefused', { detail }),
   };
 
