--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,7 +1,9 @@
 import { Builtins, Cli } from 'clipanion';
 import { BenchCapacityCommand } from './benchCapacityCommand.ts';
+import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
+import { ScenarioRunCommand } from './scenarioRunCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
 import { SetPackCommand } from './setPackCommand.ts';
 import { SettingsCheckCommand } from './settingsCheckCommand.ts';
@@ -19,8 +21,10 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   BenchCapacityCommand,
+  BenchPolicyCommand,
   DemoCommand,
   EntryCommand,
+  ScenarioRunCommand,
   SetCheckCommand,
   SetPackCommand,
   SettingsCheckCommand,
--- a/programs/startEntry.ts
+++ b/programs/startEntry.ts
@@ -56,9 +56,10 @@
     isWatcher: () => isWatcher(task.members, { host, availabilityZone }),
   });
   task.followSetNews((news) => setTask.hear(news));
+  const hostList = createHttpHostList(settings.platform.host_list);
   const hostListTask = new HostListTask({
     clock,
-    hostList: createHttpHostList(settings.platform.host_list),
+    hostList,
     log,
     onHosts: (hosts) => task.applyHosts(hosts),
   });
@@ -68,6 +69,8 @@
       task,
       maxBodyBytes: settings.limits.body_bytes,
       timeoutMs: settings.limits.request_timeout,
+      maxUnreadBytes: settings.limits.unread_bytes,
+      log,
     }),
   );
   const admin = await listenHttp(settings.listen.admin, (_request, response) =>
@@ -75,7 +78,11 @@
   );
   setTask.start();
   hostListTask.start();
-  log('processStarted', { role: 'entry', incarnation: identity.incarnation });
+  log('processStarted', {
+    incarnation: identity.incarnation,
+    callersPort: callers.port,
+    adminPort: admin.port,
+  });
   return {
     ports: { callers: callers.port, admin: admin.port },
     status: () => task.status(),
@@ -88,6 +95,8 @@
       setTask.stop();
       hostListTask.stop();
       task.stop();
+      await configuration.close();
+      await hostList.close();
       await admin.close();
       log('processStopped');
     },
--- a/programs/startSidecar.ts
+++ b/programs/startSidecar.ts
@@ -11,6 +11,9 @@
 import { listenWebSocket, realClock } from '../transport/mod.ts';
 import type { Running } from './startEntry.ts';
 
+/** Mean time that entries have to bring the set before the sidecar reads it itself. */
+const START_SPREAD_MS = 3000;
+
 /** How to start a sidecar. */
 export type StartSidecarOptions = {
   readonly settings: Settings<'sidecar'>;
@@ -52,6 +55,7 @@
     send: (peer, frame) => task.sendSet(peer, frame),
     isWatcher: () => false,
     forwards: true,
+    startSpreadMs: START_SPREAD_MS,
     scope: SIDECAR_SCOPE,
   });
   task.followSetNews((news) => setTask.hear(news));
@@ -61,7 +65,11 @@
   );
   task.start();
   setTask.start();
-  log('processStarted', { role: 'sidecar', incarnation: identity.incarnation });
+  log('processStarted', {
+    incarnation: identity.incarnation,
+    linksPort: links.port,
+    adminPort: admin.port,
+  });
   return {
     ports: { links: links.port, admin: admin.port },
     status: () => task.status(),
@@ -72,6 +80,7 @@
       });
       setTask.stop();
       task.stop();
+      await configuration.close();
       await links.close();
       await admin.close();
       log('processStopped');
--- a/scenario/world/virtualWorld.ts
+++ b/scenario/world/virtualWorld.ts
@@ -1,7 +1,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { createVirtualClock } from '../../core/clock/mod.ts';
-import type { Clock, Milliseconds, VirtualClock } from '../../core/clock/mod.ts';
+import type { Milliseconds, VirtualClock } from '../../core/clock/mod.ts';
 import type { Identity } from '../../core/link/mod.ts';
 import { isWatcher } from '../../core/membership/mod.ts';
 import type { ListedHost } from '../../core/membership/mod.ts';
@@ -16,7 +16,8 @@
 import type { Backend } from '../../tasks/sidecar/mod.ts';
 import { ProcessGate } from './processGate.ts';
 import { VirtualNetwork } from './virtualNetwork.ts';
-import type { Endpoint } from './virtualNetwork.ts';
+import type { Endpoint, VirtualNetworkOptions } from './virtualNetwork.ts';
+import { gateBackend, gateConfiguration } from './_gatedPorts.ts';
 
 /** How to build a `VirtualWorld`. */
 export type VirtualWorldOptions = {
@@ -24,6 +25,8 @@
   readonly seed?: number;
   /** One-way delay between two hosts. @default 0.5 */
   readonly latencyMs?: Milliseconds;
+  /** Decides what happens to each frame. @default every frame is delivered */
+  readonly treat?: VirtualNetworkOptions['treat'];
   /** Told of every log event of every process. */
   readonly onLog?: (
     time: Milliseconds,
@@ -77,6 +80,7 @@
     this.network = new VirtualNetwork({
       clock: this.clock,
       latency: () => options.latencyMs ?? 0.5,
+      ...(options.treat === undefined ? {} : { treat: options.treat }),
     });
     this.configuration = new ConfigurationModel(this.clock);
   }
@@ -118,22 +122,28 @@
       log,
     });
     const setTask = new SetTask({
-      ...this.#setOptions(clock, log, task),
+      ...this.#setOptions(endpoint, log, task),
       isWatcher: () => isWatcher(task.members, { host, availabilityZone: 'az-1' }),
     });
     task.followSetNews((news) => setTask.hear(news));
     setTask.start();
     new HostListTask({
       clock,
-      hostList: { read: () => Promise.resolve(this.hosts) },
+      hostList: { read: () => endpoint.gate.hold(Promise.resolve(this.hosts)) },
       log,
       onHosts: (hosts) => task.applyHosts(hosts),
     }).start();
     return this.#process(endpoint, identity, task);
   }
 
-  /** Starts a sidecar, which listens at the address that is its host's name. */
-  startSidecar(host: string, backend: Backend): WorldProcess<SidecarTask> {
+  /**
+   * Starts a sidecar.
+   *
+   * @param host Its host.
+   * @param backend The backend server beside it.
+   * @param address Where it listens; the host's name unless given.
+   */
+  startSidecar(host: string, backend: Backend, address = host): WorldProcess<SidecarTask> {
     const endpoint = this.#endpoint(host);
     const identity: Identity = { role: 'sidecar', host, incarnation: this.nonce() };
     const { clock } = endpoint.gate;
@@ -142,19 +152,19 @@
       clock,
       identity,
       backendServer: host,
-      backend,
+      backend: gateBackend(backend, endpoint.gate),
       linkKeys: LINK_KEYS,
       nonce: () => this.nonce(),
       log,
     });
     const setTask = new SetTask({
-      ...this.#setOptions(clock, log, task),
+      ...this.#setOptions(endpoint, log, task),
       isWatcher: () => false,
       forwards: true,
       scope: SIDECAR_SCOPE,
     });
     task.followSetNews((news) => setTask.hear(news));
-    this.network.listen(host, endpoint, (peer) => task.accept(peer));
+    this.network.listen(address, endpoint, (peer) => task.accept(peer));
     setTask.start();
     task.start();
     return this.#process(endpoint, identity, task);
@@ -209,14 +219,14 @@
     return (event, fields = {}) => this.#options.onLog?.(this.clock.now(), host, event, fields);
   }
 
-  #setOptions(clock: Clock, log: Log, task: EntryTask | SidecarTask): SetTaskOptions {
+  #setOptions({ gate }: Endpoint, log: Log, task: EntryTask | SidecarTask): SetTaskOptions {
     return {
-      clock,
-      configuration: this.configuration,
+      clock: gate.clock,
+      configuration: gateConfiguration(this.configuration, gate),
       log,
       onSet: (set) => task.applySet(set),
       send: (peer, frame) => task.sendSet(peer, frame),
-      random: () => this.randomBelow(NONCE_LIMIT) / NONCE_LIMIT,
+      random: () => 0.5,
     };
   }
 
--- a/tasks/set/setTask.ts
+++ b/tasks/set/setTask.ts
@@ -42,6 +42,8 @@
   readonly random?: () => number;
   /** Pause after the configuration service failed. @default 1000 */
   readonly retryMs?: Milliseconds;
+  /** Mean time for which a process waits for its peers before its first reading. @default 0 */
+  readonly startSpreadMs?: Milliseconds;
   /** Time between readings of a process that does not watch. @default 300000 */
   readonly pollMs?: Milliseconds;
 };
@@ -58,8 +60,8 @@
 /** Time after which a peer is told of a conflict again. */
 const CONFLICT_REMINDER_MS: Milliseconds = 10_000;
 
-/** Time over which the first readings of processes that do not watch are spread. */
-const START_SPREAD_MS: Milliseconds = 2000;
+/** Doublings of the pause after which it grows no more. */
+const MOST_DOUBLINGS = 16;
 
 /** Takes each higher generation from the configuration service or a peer and never goes back. */
 export class SetTask {
@@ -97,6 +99,7 @@
       scope: new Set(OBJECT_KINDS),
       random: Math.random,
       retryMs: 1000,
+      startSpreadMs: 0,
       pollMs: 300_000,
       ...options,
     };
@@ -104,10 +107,11 @@
     this.#peerReads = new PeerReads(this.#options);
   }
 
-  /** Starts to read and watch; a process that does not watch leaves its peers time to answer. */
+  /** Starts to read and watch. */
   start(): void {
-    const { isWatcher, random } = this.#options;
-    this.#readServiceAfter(isWatcher() ? 0 : START_SPREAD_MS * random(), '');
+    const { random, startSpreadMs } = this.#options;
+    if (startSpreadMs > 0) this.#readServiceAfter(startSpreadMs * (0.5 + random()), '');
+    else this.#readService('').catch(() => undefined);
   }
 
   /** Stops watching. */
@@ -154,6 +158,7 @@
       this.#nextPoll = this.#options.clock.now() + pollMs * (0.5 + random());
       this.#readServiceAfter(taken ? 0 : this.#backoff(retryMs), taken ? value.revision : '');
     } catch (error) {
+      if (this.#stopped) return;
       log('configurationDown', { detail: String(error) });
       this.#failures += 1;
       this.#readServiceAfter(this.#backoff(retryMs), '');
@@ -164,7 +169,7 @@
   #backoff(retryMs: Milliseconds): Milliseconds {
     const { isWatcher, pollMs, random } = this.#options;
     if (isWatcher()) return retryMs;
-    const grown = Math.min(pollMs, retryMs * 2 ** Math.min(this.#failures, 16));
+    const grown = Math.min(pollMs, retryMs * 2 ** Math.min(this.#failures - 1, MOST_DOUBLINGS));
     this.#nextPoll = 0;
     return grown * (0.5 + random());
   }
