Let entries route by cost and sidecars adapt to the store

Load reports carry wanted adapter versions and free slots; the router counts the entry's own open requests, so a late report does not hide them. chooseBackendServer is gone.

--- a/core/link/frames.ts
+++ b/core/link/frames.ts
@@ -88,6 +88,10 @@
   /** Sequences that the backend server runs in one step. */
   readonly batchWidth: number;
   readonly resident: readonly AdapterVersion[];
+  /** Some of the adapter versions that load or wait for a load; absent for plain services. */
+  readonly wanted?: readonly AdapterVersion[];
+  /** Slots that no request needs; absent for plain services. */
+  readonly freeSlots?: number;
   readonly leaving: boolean;
   /** Name of the backend server in the set. */
   readonly backendServer: string;
--- a/core/placement/mod.ts
+++ b/core/placement/mod.ts
@@ -1,5 +1,4 @@
 /** Where requests go. @module */
-export { chooseBackendServer } from './chooseBackendServer.ts';
 export { hashText, rendezvousOrder } from './rendezvousOrder.ts';
 export { RouteTable } from './routeTable.ts';
 export type { RouteTableOptions, ServerReport } from './routeTable.ts';
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -14,7 +14,7 @@
 import { checkWhole, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestFacts } from './_openRequest.ts';
 import { planCall } from './_planCall.ts';
-import { chooseHost } from './_router.ts';
+import { Router } from './_router.ts';
 import { LinkTask } from './linkTask.ts';
 import type { LinkNews, LinkStatus } from './linkTask.ts';
 import type { Submission, SubmissionEvent } from './request.ts';
@@ -71,6 +71,8 @@
 
   readonly #byExchange = new Map<ExchangeName, OpenRequest>();
 
+  readonly #router: Router;
+
   #set: PublishedSet | undefined;
 
   #exchanges = 0;
@@ -79,6 +81,11 @@
 
   constructor(options: EntryTaskOptions) {
     this.#options = options;
+    this.#router = new Router({
+      membership: this.#membership,
+      statuses: this.#statuses,
+      availabilityZone: options.availabilityZone,
+    });
     this.#mailbox = new Mailbox<Message>({
       handle: (message) => dispatch(this.#handlers, message),
       onError: (error) => options.log('internalError', { detail: String(error) }),
@@ -162,6 +169,7 @@
   #takeSet(set: PublishedSet): void {
     if (set.generation <= (this.#set?.generation ?? 0)) return;
     this.#set = set;
+    this.#router.noteSet(set);
     const { generation, digest } = set;
     this.#links.forEach((link) => link.noteSet({ generation, digest }));
   }
@@ -197,6 +205,7 @@
     this.#links.get(host)?.stop();
     this.#links.delete(host);
     this.#statuses.delete(host);
+    this.#router.forget(host);
     for (const request of [...this.#requests.values()]) {
       if (request.host === host) {
         const detail = `${host} left the host list after the request was sent`;
@@ -208,6 +217,7 @@
   #noteStatus(status: LinkStatus): void {
     if (!this.#links.has(status.host)) return;
     this.#statuses.set(status.host, status);
+    this.#router.noteStatus(status);
     if (status.report.leaving) {
       this.#membership.announceLeaving(status.host, status.incarnation);
     }
@@ -265,7 +275,7 @@
   }
 
   #send(request: OpenRequest): void {
-    const host = this.#chooseHost(request);
+    const host = this.#router.choose(request);
     const link = host === undefined ? undefined : this.#links.get(host);
     if (host === undefined || link === undefined) {
       const detail = 'no backend server for this request can be reached; ask again';
@@ -276,19 +286,11 @@
     request.exchange = `${this.#options.identity.incarnation}-${this.#exchanges}`;
     request.host = host;
     this.#byExchange.set(request.exchange, request);
+    this.#router.sent(request);
     const { call, generation, deadline } = request;
     link.submit(request.exchange, call, { generation, deadline });
   }
 
-  #chooseHost(request: OpenRequest): string | undefined {
-    const view = {
-      set: this.#set,
-      membership: this.#membership,
-      statuses: this.#statuses.values(),
-    };
-    return chooseHost(view, request);
-  }
-
   #noteEvent(exchange: ExchangeName, event: ExchangeEvent): void {
     const request = this.#byExchange.get(exchange);
     if (request === undefined) return;
@@ -321,10 +323,15 @@
   #noteFinal(request: OpenRequest, event: Extract<ExchangeEvent, { kind: 'final' }>): void {
     const outcome = checkWhole(request, event);
     this.#byExchange.delete(request.exchange);
+    this.#router.ended(request.exchange);
     request.tried.add(request.host);
     const { attempts = 3 } = this.#options;
     const again = isRetryable(outcome) && !request.started && request.tried.size < attempts;
-    if (again && request.destination.kind !== 'host' && this.#chooseHost(request) !== undefined) {
+    if (
+      again &&
+      request.destination.kind !== 'host' &&
+      this.#router.choose(request) !== undefined
+    ) {
       this.#options.log('requestRetried', { request: request.submission.name, host: request.host });
       this.#send(request);
       return;
@@ -357,6 +364,7 @@
     const { submission, tokens, generation, host } = request;
     request.cancelDeadline();
     this.#byExchange.delete(request.exchange);
+    this.#router.ended(request.exchange);
     this.#requests.delete(submission.name);
     const elapsedMs = Math.round(this.#options.clock.now() - request.startedAt);
     const reason = outcome.kind === 'done' ? undefined : outcome.reason;
--- a/tasks/sidecar/engineRunner.ts
+++ b/tasks/sidecar/engineRunner.ts
@@ -62,6 +62,9 @@
 
 const RETRY_AFTER_MS = 500;
 
+/** Adapter versions that a load report names as wanted. */
+const REPORTED_WANTED = 16;
+
 /** A gap between ticks after which the process takes itself to have been paused. */
 const PAUSE_MS = 2000;
 
@@ -101,9 +104,12 @@
     readonly waiting: number;
     readonly batchWidth: number;
     readonly resident: readonly string[];
+    readonly wanted: readonly string[];
+    readonly freeSlots: number;
   } {
-    const { running, waiting, resident } = this.#residence;
-    return { running, waiting, resident, batchWidth: this.#batchWidth };
+    const { running, waiting, resident, freeSlots } = this.#residence;
+    const wanted = this.#residence.wanted(REPORTED_WANTED);
+    return { running, waiting, resident, wanted, freeSlots, batchWidth: this.#batchWidth };
   }
 
   /** Runs a completion. */
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -12,7 +12,7 @@
   SidecarLinksAction,
 } from '../../core/link/mod.ts';
 import { notRun } from '../../core/outcome/mod.ts';
-import { createStaticRate } from '../../core/residence/mod.ts';
+import { createAdaptiveRate } from '../../core/residence/mod.ts';
 import type { PublishedSet } from '../../core/set/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { decodeEnvelope, encodeEnvelope } from '../_codec.ts';
@@ -243,7 +243,10 @@
       log,
       slots: pool.slots,
       loadsAtOnce: 1,
-      loadRate: createStaticRate(pool.loadsPerSecond / servers.length),
+      loadRate: createAdaptiveRate({
+        floorPerSecond: pool.loadsPerSecond / servers.length,
+        ceilingPerSecond: pool.loadsPerSecond,
+      }),
       post: (message) => this.#mailbox.post(message),
       emit: (exchange, event) => this.#emit(exchange, event),
     });
