--- a/bench/policy/simulatePolicy.ts
+++ b/bench/policy/simulatePolicy.ts
@@ -165,7 +165,9 @@
     const { running, waiting, resident, freeSlots } = server.residence;
     const { batchWidth } = deployment;
     const wanted = server.residence.wanted(WANTED_LIMIT);
-    const report = { host: server.name, running, waiting, batchWidth, resident, wanted, freeSlots };
+    const displacedUses = server.residence.displacedUses(this.#clock.now());
+    const load = { running, waiting, batchWidth, resident, wanted, freeSlots, displacedUses };
+    const report = { host: server.name, ...load };
     const { reportDelayMs = 1 } = policyCase;
     this.#clock.schedule(reportDelayMs, () => this.#entries.forEach((entry) => entry.note(report)));
     this.#clock.schedule(REPORT_MS, () => this.#report(server));
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,4 +1,5 @@
 import { Builtins, Cli } from 'clipanion';
+import { BenchDecideCommand } from './benchDecideCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
@@ -18,6 +19,7 @@
 [
   Builtins.HelpCommand,
   Builtins.VersionCommand,
+  BenchDecideCommand,
   BenchPolicyCommand,
   DemoCommand,
   EntryCommand,
--- a/core/link/frames.ts
+++ b/core/link/frames.ts
@@ -92,6 +92,8 @@
   readonly wanted?: readonly AdapterVersion[];
   /** Slots that no request needs; absent for plain services. */
   readonly freeSlots?: number;
+  /** Recent uses of the adapter version that a load would displace; absent for plain services. */
+  readonly displacedUses?: number;
   readonly leaving: boolean;
   /** Name of the backend server in the set. */
   readonly backendServer: string;
--- a/core/placement/routeCost.ts
+++ b/core/placement/routeCost.ts
@@ -8,6 +8,8 @@
   /** Adapter versions that load or wait for a load. */
   readonly wanted: number;
   readonly freeSlots: number;
+  /** Recent uses of the adapter version that a load would displace. */
+  readonly displacedUses: number;
   readonly distanceMs: Milliseconds;
   readonly isResident: boolean;
   readonly isWanted: boolean;
@@ -22,6 +24,7 @@
   readonly batchLoss: number;
   readonly distance: number;
   readonly disagreement: number;
+  readonly displaced: number;
 };
 
 const LOAD_MS: Milliseconds = 250;
@@ -38,6 +41,9 @@
 /** What running alone in a batch counts for. */
 const LONE_BATCH_MS: Milliseconds = 1500;
 
+/** What displacing an adapter version that was used recently counts for. */
+const DISPLACED_MS: Milliseconds = 500;
+
 /** What a server other than the preferred one counts for. */
 const DISAGREEMENT_MS: Milliseconds = 50;
 
@@ -57,6 +63,10 @@
   return Math.max(0, 1 - (load + 1) / batchWidth) * LONE_BATCH_MS;
 }
 
+function displacedOf({ isResident, isWanted, displacedUses }: RouteFacts): Milliseconds {
+  return isResident || isWanted ? 0 : (displacedUses / (1 + displacedUses)) * DISPLACED_MS;
+}
+
 /**
  * Returns what sending a request to a server is expected to cost, as a time.
  *
@@ -68,6 +78,7 @@
     weights.stall * stallOf(facts) +
     weights.queue * queueOf(facts) +
     weights.batchLoss * batchLossOf(facts) +
+    weights.displaced * displacedOf(facts) +
     weights.distance * facts.distanceMs +
     weights.disagreement * (facts.isPreferred ? 0 : DISAGREEMENT_MS)
   );
--- a/core/placement/routeTable.ts
+++ b/core/placement/routeTable.ts
@@ -16,6 +16,8 @@
   readonly wanted: readonly AdapterVersion[];
   /** Slots that are empty or whose adapter version is not in use. */
   readonly freeSlots: number;
+  /** Recent uses of the adapter version that a load would displace; 0 when a slot is empty. */
+  readonly displacedUses: number;
 };
 
 /** How to build a `RouteTable`. */
@@ -46,14 +48,22 @@
   reported: number;
   wanted: number;
   freeSlots: number;
+  displacedUses: number;
   reports: number;
   own: number;
   ownAtReport: number;
 };
 
 const POLICY_WEIGHTS: Readonly<Record<PoolPolicy, RouteWeights>> = {
-  'batch-efficiency': { stall: 1, queue: 1, batchLoss: 1, distance: 1, disagreement: 1 },
-  'load-stalls': { stall: 1, queue: 1, batchLoss: 0, distance: 1, disagreement: 1 },
+  'batch-efficiency': {
+    stall: 1,
+    queue: 1,
+    batchLoss: 1,
+    distance: 1,
+    disagreement: 1,
+    displaced: 1,
+  },
+  'load-stalls': { stall: 1, queue: 1, batchLoss: 0, distance: 1, disagreement: 1, displaced: 1 },
 };
 
 const MIX_FIRST = 0x85eb_ca6b;
@@ -82,10 +92,21 @@
 
   readonly #peers: Peer[] = [];
 
+  /** The hash of each of `#peers`, in the same order. */
+  readonly #hashes: number[] = [];
+
   readonly #byHost = new Map<string, Peer>();
 
   readonly #holders = new Map<AdapterVersion, Holding[]>();
 
+  #first: Peer | undefined;
+
+  #second: Peer | undefined;
+
+  #best: Peer | undefined;
+
+  #least = 0;
+
   constructor(options: RouteTableOptions) {
     this.#weights = { ...POLICY_WEIGHTS[options.policy], ...options.weights };
     this.#search = options.search ?? 'two-choices';
@@ -103,12 +124,14 @@
       reported: 0,
       wanted: 0,
       freeSlots: 0,
+      displacedUses: 0,
       reports: 0,
       own: 0,
       ownAtReport: 0,
     };
     this.#byHost.set(host, peer);
     this.#peers.push(peer);
+    this.#hashes.push(peer.hash);
   }
 
   /** Removes a server. */
@@ -116,7 +139,9 @@
     const peer = this.#byHost.get(host);
     if (peer === undefined) return;
     this.#byHost.delete(host);
-    this.#peers.splice(this.#peers.indexOf(peer), 1);
+    const index = this.#peers.indexOf(peer);
+    this.#peers.splice(index, 1);
+    this.#hashes.splice(index, 1);
     peer.holdings.forEach((holding, adapterVersion) => this.#forget(adapterVersion, holding));
   }
 
@@ -129,6 +154,7 @@
     peer.reported = report.running + report.waiting;
     peer.wanted = report.wanted.length;
     peer.freeSlots = report.freeSlots;
+    peer.displacedUses = report.displacedUses;
     peer.ownAtReport = peer.own;
     report.wanted.forEach((name) => this.#hold(peer, name, false));
     report.resident.forEach((name) => this.#hold(peer, name, true));
@@ -168,55 +194,59 @@
    * @returns The host, or `undefined` when no server may get it.
    */
   choose(adapterVersion: AdapterVersion, mayTake: (host: string) => boolean): string | undefined {
-    const hash = hashText(adapterVersion);
-    const first = this.#preferred(hash, mayTake, undefined);
+    this.#findPreferred(hashText(adapterVersion), mayTake);
+    const first = this.#first;
     if (first === undefined) return undefined;
-    let best = first;
-    let least = this.#cost(first, adapterVersion, true);
-    const holders = this.#holders.get(adapterVersion) ?? [];
-    for (let index = 0; index < holders.length; index += 1) {
-      const { peer } = holders[index]!;
-      const cost = this.#cost(peer, adapterVersion, peer === first);
-      if (cost < least && mayTake(peer.host)) {
-        least = cost;
-        best = peer;
+    this.#best = first;
+    this.#least = this.#cost(first, adapterVersion);
+    const holders = this.#holders.get(adapterVersion);
+    if (holders !== undefined) {
+      for (let index = 0; index < holders.length; index += 1) {
+        this.#consider(holders[index]!.peer, adapterVersion, mayTake);
       }
     }
-    if (this.#search === 'two-choices') {
-      const second = this.#preferred(hash, mayTake, first);
-      if (second === undefined) return best.host;
-      return this.#cost(second, adapterVersion, false) < least ? second.host : best.host;
-    }
+    if (this.#search === 'full-scan') this.#scan(adapterVersion, mayTake);
+    else if (this.#second !== undefined) this.#consider(this.#second, adapterVersion, mayTake);
+    return this.#best.host;
+  }
+
+  #scan(adapterVersion: AdapterVersion, mayTake: (host: string) => boolean): void {
     for (let index = 0; index < this.#peers.length; index += 1) {
-      const peer = this.#peers[index]!;
-      const cost = this.#cost(peer, adapterVersion, peer === first);
-      if (cost < least && mayTake(peer.host)) {
-        least = cost;
-        best = peer;
-      }
+      this.#consider(this.#peers[index]!, adapterVersion, mayTake);
     }
-    return best.host;
   }
 
-  #preferred(
-    hash: number,
-    mayTake: (host: string) => boolean,
-    except: Peer | undefined,
-  ): Peer | undefined {
-    let best: Peer | undefined;
+  #consider(peer: Peer, adapterVersion: AdapterVersion, mayTake: (host: string) => boolean): void {
+    const cost = this.#cost(peer, adapterVersion);
+    if (cost >= this.#least || !mayTake(peer.host)) return;
+    this.#least = cost;
+    this.#best = peer;
+  }
+
+  /** Finds the first two servers of the rendezvous order that may take the request. */
+  #findPreferred(hash: number, mayTake: (host: string) => boolean): void {
+    this.#first = undefined;
+    this.#second = undefined;
     let highest = -1;
-    for (let index = 0; index < this.#peers.length; index += 1) {
+    let runnerUp = -1;
+    for (let index = 0; index < this.#hashes.length; index += 1) {
+      const score = mix(hash, this.#hashes[index]!);
+      if (score <= runnerUp) continue;
       const peer = this.#peers[index]!;
-      const score = mix(hash, peer.hash);
-      if (score > highest && peer !== except && mayTake(peer.host)) {
+      if (!mayTake(peer.host)) continue;
+      if (score > highest) {
+        runnerUp = highest;
+        this.#second = this.#first;
         highest = score;
-        best = peer;
+        this.#first = peer;
+      } else {
+        runnerUp = score;
+        this.#second = peer;
       }
     }
-    return best;
   }
 
-  #cost(peer: Peer, adapterVersion: AdapterVersion, isPreferred: boolean): number {
+  #cost(peer: Peer, adapterVersion: AdapterVersion): number {
     const holding = peer.holdings.get(adapterVersion);
     const load = Math.max(peer.own, peer.reported + peer.own - peer.ownAtReport);
     return routeCost(
@@ -225,10 +255,11 @@
         batchWidth: peer.batchWidth,
         wanted: peer.wanted,
         freeSlots: peer.freeSlots,
+        displacedUses: peer.displacedUses,
         distanceMs: peer.distanceMs,
         isResident: holding?.isResident ?? false,
         isWanted: holding !== undefined && !holding.isResident,
-        isPreferred,
+        isPreferred: peer === this.#first,
       },
       this.#weights,
     );
--- a/core/residence/residence.ts
+++ b/core/residence/residence.ts
@@ -134,6 +134,17 @@
     return Math.max(0, this.#options.slots - used);
   }
 
+  /** Recent uses of the adapter version that a load would displace; 0 when a slot is empty. */
+  displacedUses(now: Milliseconds): number {
+    if (this.#slots.size < this.#options.slots) return 0;
+    let least = Infinity;
+    for (const [name, slot] of this.#slots) {
+      const isFree = slot.state === 'resident' && slot.pins === 0 && !this.#queues.has(name);
+      if (isFree) least = Math.min(least, this.#popularity.of(name, now));
+    }
+    return least === Infinity ? 0 : least;
+  }
+
   /** Adapter versions that are being loaded or that requests wait for, at most `limit`. */
   wanted(limit: number): readonly AdapterVersion[] {
     const wanted = [...this.#loadStartedAt.keys()];
--- a/tasks/entry/_router.ts
+++ b/tasks/entry/_router.ts
@@ -62,8 +62,8 @@
     const table = this.#tables.get(pool)?.table;
     if (table === undefined) return;
     table.add(host, this.#distanceTo(host));
-    const { wanted = [], freeSlots = 0 } = report;
-    table.note({ ...report, host, wanted, freeSlots });
+    const { wanted = [], freeSlots = 0, displacedUses = 0 } = report;
+    table.note({ ...report, host, wanted, freeSlots, displacedUses });
   }
 
   /** Forgets a host. */
--- a/tasks/sidecar/engineRunner.ts
+++ b/tasks/sidecar/engineRunner.ts
@@ -106,10 +106,13 @@
     readonly resident: readonly string[];
     readonly wanted: readonly string[];
     readonly freeSlots: number;
+    readonly displacedUses: number;
   } {
     const { running, waiting, resident, freeSlots } = this.#residence;
     const wanted = this.#residence.wanted(REPORTED_WANTED);
-    return { running, waiting, resident, wanted, freeSlots, batchWidth: this.#batchWidth };
+    const displacedUses = this.#residence.displacedUses(this.#options.clock.now());
+    const batchWidth = this.#batchWidth;
+    return { running, waiting, resident, wanted, freeSlots, displacedUses, batchWidth };
   }
 
   /** Runs a completion. */
