--- a/bench/policy/contenders.ts
+++ b/bench/policy/contenders.ts
@@ -38,7 +38,19 @@
   return (policy) => ({ kind: 'table', options: { policy, ...options } });
 }
 
-const PRODUCT: Contender = { route: table(), rate: 'adaptive', residence: {} };
+/** The product as it is. */
+export const PRODUCT: Contender = { route: table(), rate: 'adaptive', residence: {} };
+
+/** The cases in which the product is also run with a part replaced. */
+export const PART_CASES: readonly string[] = ['steady', 'shifted', 'failing-store', 'load-130'];
+
+/** The contenders that run in every case. */
+export const WHOLE_CONTENDERS: readonly string[] = [
+  'random',
+  'least-loaded',
+  'rendezvous',
+  'product',
+];
 
 /** The contenders by name; the clairvoyant bound is not simulated and stands apart. */
 export const CONTENDERS: Readonly<Record<string, Contender>> = {
--- a/bench/policy/mod.ts
+++ b/bench/policy/mod.ts
@@ -4,4 +4,6 @@
 export { DEPLOYMENTS } from './deployment.ts';
 export { CLAIRVOYANT, POLICIES, runPolicyBench } from './runPolicyBench.ts';
 export type { PolicyBenchOptions, PolicyRow } from './runPolicyBench.ts';
+export { sweepCapacity } from './sweepCapacity.ts';
+export type { CapacityRow } from './sweepCapacity.ts';
 export { simulatePolicy } from './simulatePolicy.ts';
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,4 +1,5 @@
 import { Builtins, Cli } from 'clipanion';
+import { BenchCapacityCommand } from './benchCapacityCommand.ts';
 import { BenchDecideCommand } from './benchDecideCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
@@ -19,6 +20,7 @@
 [
   Builtins.HelpCommand,
   Builtins.VersionCommand,
+  BenchCapacityCommand,
   BenchDecideCommand,
   BenchPolicyCommand,
   DemoCommand,
--- a/core/residence/loadRate.ts
+++ b/core/residence/loadRate.ts
@@ -37,22 +37,22 @@
   readonly ceilingPerSecond: number;
   /** Time of a load from an unhurried store. @default 250 */
   readonly loadMs?: Milliseconds;
-  /** Multiple of `loadMs` above which the store counts as hurried. @default 2 */
+  /** Multiple of `loadMs` above which the store counts as hurried. @default 3 */
   readonly hurriedFactor?: number;
 };
 
 /** What the rate is multiplied by when the store is hurried. */
-const DECREASE = 0.5;
+const DECREASE = 0.75;
 
 /** Additions that lead from the floor to the ceiling. */
 const INCREASES = 4;
 
 /**
- * Creates a rate that rises by equal additions while loads are quick and falls by half when one is
+ * Creates a rate that rises by equal additions while loads are quick and falls by a quarter when one is
  * slow.
  */
 export function createAdaptiveRate(options: AdaptiveRateOptions): LoadRate {
-  const { floorPerSecond, ceilingPerSecond, loadMs = 250, hurriedFactor = 2 } = options;
+  const { floorPerSecond, ceilingPerSecond, loadMs = 250, hurriedFactor = 3 } = options;
   const increase = (ceilingPerSecond - floorPerSecond) / INCREASES;
   let rate = ceilingPerSecond;
   let nextAt: Milliseconds = 0;
--- a/core/residence/residence.ts
+++ b/core/residence/residence.ts
@@ -68,7 +68,7 @@
 
 const DEFAULT_LOADS_PER_SECOND = 4;
 
-const POPULARITY_HALF_LIFE_MS: Milliseconds = 20_000;
+const POPULARITY_HALF_LIFE_MS: Milliseconds = 10000;
 
 /**
  * Decides which adapter versions one engine holds and which requests it starts.
