--- /dev/null
+++ b/cli/benchPolicyCapacityCommand.ts
@@ -0,0 +1,20 @@
+import { Command } from 'clipanion';
+import { DEPLOYMENTS, sweepCapacity } from '../bench/policy/mod.ts';
+
+/** `hyssopspread bench policy-capacity`. */
+export class BenchPolicyCapacityCommand extends Command {
+  static override paths = [['bench', 'policy-capacity']];
+
+  static override usage = Command.Usage({
+    description: 'Prints, one JSON object a line, how much load each modelled deployment bears.',
+    examples: [['Run it', '$0 bench policy-capacity']],
+  });
+
+  async execute(): Promise<number> {
+    for (const deployment of DEPLOYMENTS) {
+      const rows = await sweepCapacity(deployment);
+      rows.forEach((row) => this.context.stdout.write(`${JSON.stringify(row)}\n`));
+    }
+    return 0;
+  }
+}
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,5 +1,7 @@
 import { Builtins, Cli } from 'clipanion';
 import { BenchCapacityCommand } from './benchCapacityCommand.ts';
+import { BenchDecideCommand } from './benchDecideCommand.ts';
+import { BenchPolicyCapacityCommand } from './benchPolicyCapacityCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
@@ -22,6 +24,8 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   BenchCapacityCommand,
+  BenchDecideCommand,
+  BenchPolicyCapacityCommand,
   BenchPolicyCommand,
   DemoCommand,
   EntryCommand,
--- a/core/link/entryLink.test.ts
+++ b/core/link/entryLink.test.ts
@@ -111,6 +111,15 @@
     });
   });
 
+  describe('frames of the set', () => {
+    it('reach the entry that a sidecar names by its host', () => {
+      const pair = startPair();
+      const frame = { kind: 'set-read', name: 'head' } as const;
+      pair.performSidecar(pair.sidecar.sendSet('e1', frame));
+      expect(pair.entryActions.at(-1)).to.deep.equal({ kind: 'set-frame', frame });
+    });
+  });
+
   describe('restart of the sidecar', () => {
     it('ends calls sent to the earlier incarnation as unknown', () => {
       const pair = startPair();
--- a/core/link/sidecarLink.ts
+++ b/core/link/sidecarLink.ts
@@ -195,8 +195,9 @@
 
   /** Sends a frame of the set, or drops it when the entry is not connected. */
   sendSet(host: string, frame: SetFrame): readonly SidecarLinksAction[] {
-    const connection = this.#entries.get(host)?.connection;
-    if (connection !== undefined) this.#send(connection, frame);
+    for (const { identity, connection } of this.#entries.values()) {
+      if (identity.host === host && connection !== undefined) this.#send(connection, frame);
+    }
     return this.#takeActions();
   }
 
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -19,8 +19,8 @@
 import { keyedOutcome } from './_keyedOutcome.ts';
 import { LinkTable } from './_linkTable.ts';
 import { planCall } from './_planCall.ts';
-import { chooseHost } from './_router.ts';
 import { noteToken, requestSample } from './_requestSample.ts';
+import { Router } from './_router.ts';
 import { LinkTask } from './linkTask.ts';
 import type { LinkNews, LinkStatus } from './linkTask.ts';
 import type { Submission, SubmissionEvent } from './request.ts';
@@ -82,6 +82,8 @@
 
   readonly #burn: BurnRecorder;
 
+  readonly #router: Router;
+
   #set: PublishedSet | undefined;
 
   #exchanges = 0;
@@ -96,6 +98,11 @@
     this.#options = options;
     const { clock, identity } = options;
     this.#burn = new BurnRecorder({ identity, startedAt: clock.now() });
+    this.#router = new Router({
+      membership: this.#membership,
+      statuses: this.#statuses,
+      availabilityZone: options.availabilityZone,
+    });
     this.#mailbox = new Mailbox<Message>({
       handle: (message) => dispatch(this.#handlers, message),
       onError: (error) => options.log('internalError', { detail: String(error) }),
@@ -200,6 +207,7 @@
     if (set.generation <= (this.#set?.generation ?? 0)) return;
     this.#set = set;
     this.#burn.applyObjectives(set.objectives);
+    this.#router.noteSet(set);
     const { generation, digest } = set;
     this.#links.current.forEach((link) => link.noteSet({ generation, digest }));
   }
@@ -240,6 +248,7 @@
     this.#links.retire(host, this.#isUsed);
     this.#statuses.delete(host);
     this.#onSetNews?.({ kind: 'peer-gone', host });
+    this.#router.forget(host);
   }
 
   readonly #isUsed = (link: LinkTask): boolean =>
@@ -252,6 +261,7 @@
     this.#onSetNews?.(
       health === 'ready' ? { kind: 'peer-set', host, set } : { kind: 'peer-gone', host },
     );
+    this.#router.noteStatus(status);
     if (status.report.leaving) {
       this.#membership.announceLeaving(status.host, status.incarnation);
     }
@@ -307,7 +317,7 @@
   }
 
   #send(request: OpenRequest): void {
-    const host = this.#chooseHost(request);
+    const host = this.#router.choose(request);
     const link = host === undefined ? undefined : this.#links.get(host);
     if (host === undefined || link === undefined) {
       const detail = 'no backend server for this request can be reached; ask again';
@@ -319,20 +329,12 @@
     request.host = host;
     request.link = link;
     this.#byExchange.set(request.exchange, request);
+    this.#router.sent(request);
     const { generation, deadline } = request;
     const call = callFor(request, this.#mayTakeWork(host));
     link.submit(request.exchange, call, { generation, deadline });
   }
 
-  #chooseHost(request: OpenRequest): string | undefined {
-    const view = {
-      set: this.#set,
-      membership: this.#membership,
-      statuses: this.#statuses.values(),
-    };
-    return chooseHost(view, request);
-  }
-
   #mayTakeWork(host: string): boolean {
     const incarnation = this.#statuses.get(host)?.incarnation ?? '';
     return this.#membership.mayTakeWork(host, incarnation);
@@ -373,10 +375,15 @@
   #noteFinal(request: OpenRequest, event: Extract<ExchangeEvent, { kind: 'final' }>): void {
     const outcome = checkWhole(request, event);
     this.#byExchange.delete(request.exchange);
+    this.#router.ended(request.exchange);
     request.tried.add(request.host);
     const { attempts = 3 } = this.#options;
     const again = isRetryable(outcome) && !request.started && request.tried.size < attempts;
-    if (again && request.destination.kind !== 'host' && this.#chooseHost(request) !== undefined) {
+    if (
+      again &&
+      request.destination.kind !== 'host' &&
+      this.#router.choose(request) !== undefined
+    ) {
       const { submission, exchange, host } = request;
       this.#options.log('requestRetried', { request: submission.name, exchange, peer: host });
       this.#send(request);
@@ -412,6 +419,7 @@
     const outcome = keyedOutcome(submission.request, ending);
     request.cancelDeadline();
     this.#byExchange.delete(request.exchange);
+    this.#router.ended(request.exchange);
     this.#requests.delete(submission.name);
     if (request.link !== undefined) this.#links.release(request.link, this.#isUsed);
     this.#recordBurn(request, outcome);
--- a/tasks/sidecar/engineRunner.ts
+++ b/tasks/sidecar/engineRunner.ts
@@ -64,6 +64,8 @@
 const RETRY_AFTER_MS = 500;
 
 const SUPERSEDED = notRun('leaving', 'this host is being replaced; ask again', RETRY_AFTER_MS);
+/** Adapter versions that a load report names as wanted. */
+const REPORTED_WANTED = 16;
 
 /** A gap between ticks after which the process takes itself to have been paused. */
 const PAUSE_MS = 2000;
@@ -115,9 +117,15 @@
     readonly waiting: number;
     readonly batchWidth: number;
     readonly resident: readonly string[];
+    readonly wanted: readonly string[];
+    readonly freeSlots: number;
+    readonly displacedUses: number;
   } {
-    const { running, waiting, resident } = this.#residence;
-    return { running, waiting, resident, batchWidth: this.#batchWidth };
+    const { running, waiting, resident, freeSlots } = this.#residence;
+    const wanted = this.#residence.wanted(REPORTED_WANTED);
+    const displacedUses = this.#residence.displacedUses(this.#options.clock.now());
+    const batchWidth = this.#batchWidth;
+    return { running, waiting, resident, wanted, freeSlots, displacedUses, batchWidth };
   }
 
   /** Whether another process has become the engine's sender of orders. */
