--- /dev/null
+++ b/settings/settingsPage.test.ts
@@ -0,0 +1,24 @@
+import { readFileSync } from 'node:fs';
+import { expect } from 'chai';
+import { z } from 'zod';
+import { SETTINGS_SCHEMAS } from './_schemas.ts';
+
+type JsonSchema = { readonly properties?: Readonly<Record<string, JsonSchema>> };
+
+function keysOf(schema: JsonSchema): readonly string[] {
+  return Object.values(schema.properties ?? {}).flatMap((section) =>
+    Object.keys(section.properties ?? {}),
+  );
+}
+
+describe('docs/SETTINGS.md', () => {
+  const page = readFileSync('docs/SETTINGS.md', 'utf8');
+  const documented = new Set([...page.matchAll(/^\|[^|]*\| `(\w+)`/gm)].map((match) => match[1]));
+  const known = Object.values(SETTINGS_SCHEMAS).flatMap((schema) =>
+    keysOf(z.toJSONSchema(schema, { io: 'input' }) as JsonSchema),
+  );
+
+  it('has a row for each setting and none for others', () => {
+    expect([...documented]).to.have.members([...new Set(known)]);
+  });
+});
