--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,5 +1,6 @@
 import { Builtins, Cli } from 'clipanion';
 import { BenchCapacityCommand } from './benchCapacityCommand.ts';
+import { BenchPathCommand } from './benchPathCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
@@ -22,6 +23,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   BenchCapacityCommand,
+  BenchPathCommand,
   BenchPolicyCommand,
   DemoCommand,
   EntryCommand,
--- a/programs/demo/_startDeployment.ts
+++ b/programs/demo/_startDeployment.ts
@@ -50,6 +50,8 @@
       listen: ENGINES.map(() => ANY_PORT),
       slots: deployment.slots,
       batch_width: 16,
+      step_time: 20,
+      sequence_microseconds: 500,
     },
     service: { listen: ANY_PORT },
     hosts: {},
--- a/programs/startStandins.ts
+++ b/programs/startStandins.ts
@@ -48,10 +48,14 @@
     loadsPerSecond: settings.store.loads_per_second,
     loadsAtOnce: settings.store.loads_at_once,
   });
-  const { slots, batch_width: batchWidth } = settings.engines;
+  const { slots, batch_width: batchWidth, step_time: stepMs } = settings.engines;
+  const stepMsPerSequence = settings.engines.sequence_microseconds / 1000;
   const engines = await Promise.all(
     settings.engines.listen.map((address) =>
-      serveEngine(new EngineModel({ clock, store, slots, batchWidth }), address),
+      serveEngine(
+        new EngineModel({ clock, store, slots, batchWidth, stepMs, stepMsPerSequence }),
+        address,
+      ),
     ),
   );
   const service = new ServiceModel(clock);
--- a/programs/testing/processFleet.ts
+++ b/programs/testing/processFleet.ts
@@ -12,25 +12,30 @@
 
 const ENGINES = ['engine-1', 'engine-2'] as const;
 
-const SET = [
-  '[tenant t]',
-  '[caller c]\ntenant = t',
-  `token_sha256 = ${sha256(FLEET_TOKEN)}`,
-  '[base_model m]',
-  '[pool p]\nbase_model = m\npolicy = load-stalls\nslots = 4',
-  'loads_per_second = 1000\nloads_at_once = 100',
-  '[adapter t/a]\npool = p\nversions = 1, 2',
-  '[service t/s]',
-  ...ENGINES.map((name) => `[backend_server ${name}]\npool = p`),
-  '[backend_server service-1]\nservice = t/s',
-].join('\n');
-
-const STANDINS = [
-  '[platform]\nlisten = 127.0.0.1:0\nset = set.ini',
-  '[store]\nloads_per_second = 1000\nloads_at_once = 100',
-  '[engines]\nlisten = 127.0.0.1:0, 127.0.0.1:0\nslots = 4',
-  '[service]\nlisten = 127.0.0.1:0',
-].join('\n');
+function setText(engines: readonly string[]): string {
+  return [
+    '[tenant t]',
+    '[caller c]\ntenant = t',
+    `token_sha256 = ${sha256(FLEET_TOKEN)}`,
+    '[base_model m]',
+    '[pool p]\nbase_model = m\npolicy = load-stalls\nslots = 4',
+    'loads_per_second = 1000\nloads_at_once = 100',
+    '[adapter t/a]\npool = p\nversions = 1, 2',
+    '[service t/s]',
+    ...engines.map((name) => `[backend_server ${name}]\npool = p`),
+    '[backend_server service-1]\nservice = t/s',
+  ].join('\n');
+}
+
+function standinsText(engines: readonly string[], engineSettings: string): string {
+  const listen = engines.map(() => '127.0.0.1:0').join(', ');
+  return [
+    '[platform]\nlisten = 127.0.0.1:0\nset = set.ini',
+    '[store]\nloads_per_second = 1000\nloads_at_once = 100',
+    `[engines]\nlisten = ${listen}\nslots = 4\n${engineSettings}`,
+    '[service]\nlisten = 127.0.0.1:0',
+  ].join('\n');
+}
 
 const STARTED = 'HS1001';
 const SET_TAKEN = 'HS2001';
@@ -48,6 +53,10 @@
 /** How to start a fleet. */
 export type ProcessFleetOptions = {
   /** Returns the port at which entries reach a sidecar that listens on `port`. */
+  /** Names of the engines' hosts. @default ['engine-1', 'engine-2'] */
+  readonly engines?: readonly string[];
+  /** Further lines of `[engines]` in the stand-ins' settings. @default '' */
+  readonly engineSettings?: string;
   readonly relay?: (host: string, port: number) => Promise<number>;
 };
 
@@ -61,6 +70,9 @@
 
   entry!: ProgramProcess;
 
+  /** The address of the first engine. */
+  engineUrl = '';
+
   /** The address for callers. */
   url = '';
 
@@ -78,12 +90,15 @@
     rmSync(this.#folder, { recursive: true });
   }
 
-  async #start({ relay }: ProcessFleetOptions): Promise<void> {
-    writeFileSync(join(this.#folder, 'set.ini'), SET);
-    const standins = await this.#spawn('standins', 'standins', STANDINS).event(STARTED);
+  async #start(options: ProcessFleetOptions): Promise<void> {
+    const { relay, engines = ENGINES, engineSettings = '' } = options;
+    writeFileSync(join(this.#folder, 'set.ini'), setText(engines));
+    const standinsSettings = standinsText(engines, engineSettings);
+    const standins = await this.#spawn('standins', 'standins', standinsSettings).event(STARTED);
     const platform = `http://127.0.0.1:${standins.platformPort}`;
     const enginePorts = String(standins.enginePorts).split(' ');
-    ENGINES.forEach((host, index) =>
+    this.engineUrl = `http://127.0.0.1:${enginePorts[0]}`;
+    engines.forEach((host, index) =>
       this.#spawnSidecar(host, platform, 'engine', String(enginePorts[index])),
     );
     this.#spawnSidecar('service-1', platform, 'service', String(standins.servicePort));
--- a/programs/testing/spawnProgram.ts
+++ b/programs/testing/spawnProgram.ts
@@ -67,6 +67,11 @@
     });
   }
 
+  /** The process's number. */
+  get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
   /** Every line logged so far. */
   get lines(): readonly LogLine[] {
     return this.#lines;
--- a/settings/_schemas.ts
+++ b/settings/_schemas.ts
@@ -91,7 +91,9 @@
       .transform((text) => text.split(',').map((part) => part.trim()))
       .pipe(z.array(address).min(1)),
     slots: wholeNumber(1, 1000),
-    batch_width: wholeNumber(1, 1000).default(16),
+    batch_width: wholeNumber(1, 10_000).default(16),
+    step_time: time.default(20),
+    sequence_microseconds: wholeNumber(0, 1_000_000).default(500),
   }),
   service: z.strictObject({ listen: address }),
   hosts: z.record(name, listedHost).default({}),
