--- a/tasks/mailbox/mailbox.ts
+++ b/tasks/mailbox/mailbox.ts
@@ -14,6 +14,8 @@
 
   readonly #options: MailboxOptions<M>;
 
+  #waiting: M[] = [];
+
   #closed = false;
 
   constructor(options: MailboxOptions<M>) {
@@ -22,20 +24,41 @@
 
   /** Messages that wait. */
   get size(): number {
-    return this.#queue.size;
+    return this.#waiting.length;
   }
 
   /** Adds a message; does nothing once the mailbox is closed. */
   post(message: M): void {
     if (this.#closed) return;
+    this.#waiting.push(message);
+    if (this.#waiting.length > 1) return;
     this.#queue
-      .add(() => this.#options.handle(message))
+      .add(() => this.#handleWaiting())
       .catch((error: unknown) => this.#options.onError(error));
   }
 
   /** Drops all waiting messages and every later one. */
   close(): void {
     this.#closed = true;
+    this.#waiting = [];
     this.#queue.clear();
   }
+
+  /** Handles the messages that wait now in one job of the queue, which costs less than one each. */
+  #handleWaiting(): void {
+    const messages = this.#waiting;
+    this.#waiting = [];
+    for (const message of messages) {
+      if (this.#closed) return;
+      this.#handleOne(message);
+    }
+  }
+
+  #handleOne(message: M): void {
+    try {
+      this.#options.handle(message);
+    } catch (error) {
+      this.#options.onError(error);
+    }
+  }
 }
