--- a/cli/main.ts
+++ b/cli/main.ts
@@ -2,6 +2,7 @@
 import { BenchCapacityCommand } from './benchCapacityCommand.ts';
 import { BenchDecideCommand } from './benchDecideCommand.ts';
 import { BenchPolicyCapacityCommand } from './benchPolicyCapacityCommand.ts';
+import { BenchPathCommand } from './benchPathCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
@@ -26,6 +27,7 @@
   BenchCapacityCommand,
   BenchDecideCommand,
   BenchPolicyCapacityCommand,
+  BenchPathCommand,
   BenchPolicyCommand,
   DemoCommand,
   EntryCommand,
