--- a/cli/setPackCommand.ts
+++ b/cli/setPackCommand.ts
@@ -7,6 +7,7 @@
 import { refusal } from './_readFileOrExplain.ts';
 import type { Refusal } from './_readFileOrExplain.ts';
 import { readPackedFolder } from './_readPackedFolder.ts';
+import { refuseUse } from './_refuseUse.ts';
 
 type Previous = { readonly kind: 'previous'; readonly holding: Holding | undefined };
 
@@ -40,6 +41,10 @@
 
   async execute(): Promise<number> {
     const generation = Number(this.generation);
+    if (!Number.isSafeInteger(generation) || generation < 1) {
+      const remedy = 'give a whole number above that of the set in force';
+      return refuseUse(this.context, `--generation "${this.generation}" is wrong; ${remedy}`);
+    }
     const previous = await this.#readPrevious(generation);
     const check = checkSetFiles(this.files);
     const refusals = [previous, check].filter((each) => each.kind === 'refusal');
@@ -56,10 +61,6 @@
   }
 
   async #readPrevious(generation: number): Promise<Previous | Refusal> {
-    if (!Number.isSafeInteger(generation) || generation < 1) {
-      const remedy = 'give a whole number above that of the set in force';
-      return refusal(`--generation "${this.generation}" is wrong; ${remedy}`);
-    }
     if (this.after === '') return { kind: 'previous', holding: undefined };
     const folder = await readPackedFolder(this.after);
     if (folder.kind === 'refusal') return folder;
