--- a/bench/capacity/formatCapacityPage.ts
+++ b/bench/capacity/formatCapacityPage.ts
@@ -134,6 +134,22 @@
   return table(['Part', 'ms'], rows);
 }
 
+/** Entries that hold a link to one worker when links form cells. */
+const ENTRIES_PER_WORKER = 4;
+
+function formatCells(slopes: Slopes, size: Deployment): string {
+  const bytes = slopes('bytes.idle-link').slope;
+  const links = (ENTRIES_PER_WORKER * size.workers) / size.entries;
+  const rows = [
+    ['bytes/s of an idle link, measured', show(bytes)],
+    ['links of an entry within the budget at that', show(BUDGET.bytesPerSecond / bytes)],
+    [`links of an entry, ${ENTRIES_PER_WORKER} entries to a worker`, show(links)],
+    ['bytes/s of a link that would fit', show(BUDGET.bytesPerSecond / links)],
+    ['entries to a worker within its own budget, measured', show(BUDGET.bytesPerSecond / bytes)],
+  ];
+  return table(['Links in cells', 'Figure'], rows);
+}
+
 /**
  * Writes docs/CAPACITY.md from a recorded run.
  *
@@ -162,6 +178,7 @@
     'The sizes of today give no rates: requests and tokens are scaled from the letter by workers,\nchanges by adapters.',
     ...DEPLOYMENTS.map((size) => formatDeployment(size, slopes)),
     `## First token and time between tokens at the letter's size\n\nProcessor time at both ends with no waiting, and round trips of the widest deployment of today.\n\n${formatLatency(slopes, DEPLOYMENTS[0]!)}`,
+    `## Links within the budget at the letter's size\n\nNot built: cells, and heartbeats that carry only what has changed.\n\n${formatCells(slopes, DEPLOYMENTS[0]!)}`,
     `## Slopes\n\n${formatSlopes(record.slopes)}`,
   ];
   return `${sections.join('\n\n')}\n`;
