--- /dev/null
+++ b/cli/benchSetCommand.ts
@@ -0,0 +1,23 @@
+import { Command, Option } from 'clipanion';
+import { weighWays } from '../bench/set/mod.ts';
+
+/** `hyssopspread bench set`. */
+export class BenchSetCommand extends Command {
+  static override paths = [['bench', 'set']];
+
+  static override usage = Command.Usage({
+    description: 'Compares the bytes by which changes of the set reach readers.',
+    examples: [['Compare the ways', '$0 bench set --json']],
+  });
+
+  readonly json = Option.Boolean('--json', false);
+
+  readonly adapters = Option.String('--adapters', '96000');
+
+  async execute(): Promise<number> {
+    const rows = weighWays(Number(this.adapters));
+    if (this.json) this.context.stdout.write(`${JSON.stringify(rows, undefined, 2)}\n`);
+    else rows.forEach((row) => this.context.stdout.write(`${JSON.stringify(row)}\n`));
+    return 0;
+  }
+}
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -4,11 +4,13 @@
 import { BenchPolicyCapacityCommand } from './benchPolicyCapacityCommand.ts';
 import { BenchPathCommand } from './benchPathCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
+import { BenchSetCommand } from './benchSetCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
 import { ScenarioRunCommand } from './scenarioRunCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
 import { SetPackCommand } from './setPackCommand.ts';
+import { SetShowCommand } from './setShowCommand.ts';
 import { SettingsCheckCommand } from './settingsCheckCommand.ts';
 import { SidecarCommand } from './sidecarCommand.ts';
 import { StandinsCommand } from './standinsCommand.ts';
@@ -29,11 +31,13 @@
   BenchPolicyCapacityCommand,
   BenchPathCommand,
   BenchPolicyCommand,
+  BenchSetCommand,
   DemoCommand,
   EntryCommand,
   ScenarioRunCommand,
   SetCheckCommand,
   SetPackCommand,
+  SetShowCommand,
   SettingsCheckCommand,
   SidecarCommand,
   StandinsCommand,
--- a/core/link/sidecarLink.ts
+++ b/core/link/sidecarLink.ts
@@ -62,8 +62,9 @@
       readonly deadline: Milliseconds;
     }
   | { readonly kind: 'cancel'; readonly exchange: ExchangeName }
-  | { readonly kind: 'peer-set'; readonly host: string; readonly set: SetStamp }
-  | { readonly kind: 'set-frame'; readonly host: string; readonly frame: SetFrame }
+  /** `peer` names one incarnation of an entry. */
+  | { readonly kind: 'peer-set'; readonly peer: string; readonly set: SetStamp }
+  | { readonly kind: 'set-frame'; readonly peer: string; readonly frame: SetFrame }
   | { readonly kind: 'refused'; readonly detail: string };
 
 type Hello = Extract<EntryFrame, { kind: 'hello' }>;
@@ -194,10 +195,9 @@
   }
 
   /** Sends a frame of the set, or drops it when the entry is not connected. */
-  sendSet(host: string, frame: SetFrame): readonly SidecarLinksAction[] {
-    for (const { identity, connection } of this.#entries.values()) {
-      if (identity.host === host && connection !== undefined) this.#send(connection, frame);
-    }
+  sendSet(peer: string, frame: SetFrame): readonly SidecarLinksAction[] {
+    const connection = this.#entries.get(peer)?.connection;
+    if (connection !== undefined) this.#send(connection, frame);
     return this.#takeActions();
   }
 
@@ -302,10 +302,10 @@
       case 'set-read':
       case 'set-value':
       case 'set-conflict':
-        this.#actions.push({ kind: 'set-frame', host: link.identity.host, frame });
+        this.#actions.push({ kind: 'set-frame', peer: entryName(link.identity), frame });
         return;
       default:
-        this.#actions.push({ kind: 'peer-set', host: link.identity.host, set: frame.set });
+        this.#actions.push({ kind: 'peer-set', peer: entryName(link.identity), set: frame.set });
     }
   }
 
@@ -388,7 +388,7 @@
     this.#dropUnlisted(link, frame.resume);
     frame.resume.forEach((point) => this.#replay(connection, link, point));
     if (known === undefined) this.#endForgotten(connection, frame.resume);
-    this.#actions.push({ kind: 'peer-set', host: hello.identity.host, set: frame.set });
+    this.#actions.push({ kind: 'peer-set', peer: entryName(hello.identity), set: frame.set });
   }
 
   #addEntry(identity: Identity, now: Milliseconds): EntryState {
--- a/core/set/checkSet.ts
+++ b/core/set/checkSet.ts
@@ -1,5 +1,7 @@
 import type { IniProblem } from '../ini/mod.ts';
+import { formatLine } from './_buckets.ts';
 import type { ObjectKind, SetObject } from './objects.ts';
+import { MAX_VALUE_BYTES } from './packSet.ts';
 import type { Declaration } from './parseSet.ts';
 
 /** A set whose references all hold, or every reason why they do not. */
@@ -88,6 +90,11 @@
     if (object.kind === 'backend_server' && (object.pool === '') === (object.service === '')) {
       this.#report(declaration, 'needs either pool or service; give exactly one of them');
     }
+    const bytes = formatLine(object).length;
+    if (bytes > MAX_VALUE_BYTES) {
+      const most = `a value holds at most ${MAX_VALUE_BYTES}`;
+      this.#report(declaration, `takes ${bytes} bytes and ${most}; shorten its lists`);
+    }
     if (object.kind === 'route') this.#checkRoute(declaration, object);
   }
 
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -162,16 +162,16 @@
     };
   }
 
-  /** Returns what this process knows of service-level burn. */
-  burn(): BurnSnapshot {
-    return this.#burn.snapshot(this.#options.clock.now());
-  }
-
   /** The hosts that the platform lists. */
   get members(): readonly ListedHost[] {
     return this.#membership.members;
   }
 
+  /** Returns what this process knows of service-level burn. */
+  burn(): BurnSnapshot {
+    return this.#burn.snapshot(this.#options.clock.now());
+  }
+
   /** Returns the names that a caller may use as `model`. */
   modelsOf(tokenSha256: string): readonly string[] {
     const set = this.#set;
@@ -199,7 +199,7 @@
       this.#checkEmpty();
     },
     'link-status': ({ status }) => this.#noteStatus(status),
-    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', host, frame }),
+    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', peer: host, frame }),
     'exchange-event': ({ exchange, event }) => this.#noteEvent(exchange, event),
   };
 
@@ -247,7 +247,7 @@
   #closeLink(host: string): void {
     this.#links.retire(host, this.#isUsed);
     this.#statuses.delete(host);
-    this.#onSetNews?.({ kind: 'peer-gone', host });
+    this.#onSetNews?.({ kind: 'peer-gone', peer: host });
     this.#router.forget(host);
   }
 
@@ -257,9 +257,9 @@
   #noteStatus(status: LinkStatus): void {
     if (this.#links.get(status.host) === undefined) return;
     this.#statuses.set(status.host, status);
-    const { host, health, peerSet: set } = status;
+    const { host: peer, health, peerSet: set } = status;
     this.#onSetNews?.(
-      health === 'ready' ? { kind: 'peer-set', host, set } : { kind: 'peer-gone', host },
+      health === 'ready' ? { kind: 'peer-set', peer, set } : { kind: 'peer-gone', peer },
     );
     this.#router.noteStatus(status);
     if (status.report.leaving) {
--- a/tasks/set/setTask.ts
+++ b/tasks/set/setTask.ts
@@ -19,9 +19,9 @@
 /** What the owner of links tells a `SetTask`. */
 export type SetNews =
   /** A peer has a set in force. */
-  | { readonly kind: 'peer-set'; readonly host: string; readonly set: SetStamp }
-  | { readonly kind: 'peer-frame'; readonly host: string; readonly frame: SetFrame }
-  | { readonly kind: 'peer-gone'; readonly host: string };
+  | { readonly kind: 'peer-set'; readonly peer: string; readonly set: SetStamp }
+  | { readonly kind: 'peer-frame'; readonly peer: string; readonly frame: SetFrame }
+  | { readonly kind: 'peer-gone'; readonly peer: string };
 
 /** How to build a `SetTask`. */
 export type SetTaskOptions = {
@@ -31,7 +31,7 @@
   /** Told of each set that comes into force, in rising order of generation. */
   readonly onSet: (set: PublishedSet) => void;
   /** Sends a frame to a peer. @default drops it */
-  readonly send?: (host: string, frame: SetFrame) => void;
+  readonly send?: (peer: string, frame: SetFrame) => void;
   /** Tells whether this process watches the configuration service. @default always */
   readonly isWatcher?: () => boolean;
   /** Whether values that are not held here are asked of other peers. @default false */
@@ -130,17 +130,17 @@
   }
 
   readonly #handlers: Handlers<SetNews, void> = {
-    'peer-set': ({ host, set }) => {
-      this.#peers.set(host, set);
+    'peer-set': ({ peer, set }) => {
+      this.#peers.set(peer, set);
       if (set.generation > 0) this.#judge(set);
-      this.#tellConflict(host);
+      this.#tellConflict(peer);
       this.#readPeers();
     },
-    'peer-frame': ({ host, frame }) => this.#takeFrame(host, frame),
-    'peer-gone': ({ host }) => {
-      this.#peers.delete(host);
-      this.#failedUntil.delete(host);
-      this.#peerReads.gone(host);
+    'peer-frame': ({ peer, frame }) => this.#takeFrame(peer, frame),
+    'peer-gone': ({ peer }) => {
+      this.#peers.delete(peer);
+      this.#failedUntil.delete(peer);
+      this.#peerReads.gone(peer);
     },
   };
 
@@ -225,24 +225,24 @@
 
   /** Reads the newest set that a peer has, one reading at a time. */
   #readPeers(): void {
-    const host = this.#newestPeer();
-    if (this.#isReadingPeer || host === undefined) return;
+    const peer = this.#newestPeer();
+    if (this.#isReadingPeer || peer === undefined) return;
     this.#isReadingPeer = true;
-    this.#readPeer(host)
+    this.#readPeer(peer)
       .catch(() => {
-        this.#peers.delete(host);
+        this.#peers.delete(peer);
         return false;
       })
       .then((taken) => {
         this.#isReadingPeer = false;
-        if (!taken) this.#postpone(host);
+        if (!taken) this.#postpone(peer);
         if (!this.#stopped) this.#readPeers();
       })
       .catch((error: unknown) => this.#options.log('internalError', { detail: String(error) }));
   }
 
-  async #readPeer(host: string): Promise<boolean> {
-    const source: ReadValue = (name) => this.#peerReads.read(host, name);
+  async #readPeer(peer: string): Promise<boolean> {
+    const source: ReadValue = (name) => this.#peerReads.read(peer, name);
     const text = await source(HEAD_NAME);
     if (text === undefined) return false;
     const before = this.#acceptance.inForce.generation;
@@ -250,9 +250,9 @@
   }
 
   /** Leaves a peer out for a while, then looks at it again. */
-  #postpone(host: string): void {
+  #postpone(peer: string): void {
     const { clock, retryMs } = this.#options;
-    this.#failedUntil.set(host, clock.now() + retryMs);
+    this.#failedUntil.set(peer, clock.now() + retryMs);
     clock.schedule(retryMs, () => {
       if (!this.#stopped) this.#readPeers();
     });
@@ -262,61 +262,64 @@
     const now = this.#options.clock.now();
     const { inForce, conflict } = this.#acceptance;
     const newer = [...this.#peers].filter(
-      ([host, { generation }]) =>
+      ([peer, { generation }]) =>
         generation > inForce.generation &&
         generation !== conflict?.generation &&
-        (this.#failedUntil.get(host) ?? 0) <= now,
+        (this.#failedUntil.get(peer) ?? 0) <= now,
     );
     return newer.sort(([, a], [, b]) => b.generation - a.generation)[0]?.[0];
   }
 
   /** Tells a peer of the conflict, from time to time in case it restarts. */
-  #tellConflict(host: string): void {
+  #tellConflict(peer: string): void {
     const { conflict } = this.#acceptance;
     const now = this.#options.clock.now();
-    if (conflict === undefined || now < (this.#toldConflict.get(host) ?? 0)) return;
-    this.#toldConflict.set(host, now + CONFLICT_REMINDER_MS);
-    this.#options.send(host, { kind: 'set-conflict', ...conflict });
+    if (conflict === undefined || now < (this.#toldConflict.get(peer) ?? 0)) return;
+    this.#toldConflict.set(peer, now + CONFLICT_REMINDER_MS);
+    this.#options.send(peer, { kind: 'set-conflict', ...conflict });
   }
 
   readonly #frameHandlers: {
-    readonly [K in SetFrame['kind']]: (host: string, frame: Extract<SetFrame, { kind: K }>) => void;
+    readonly [K in SetFrame['kind']]: (peer: string, frame: Extract<SetFrame, { kind: K }>) => void;
   } = {
-    'set-read': (host, { name }) => this.#serve(host, name),
-    'set-value': (host, { name, text }) => this.#peerReads.answered(host, name, text ?? undefined),
+    'set-read': (peer, { name }) => this.#serve(peer, name),
+    'set-value': (peer, { name, text }) => this.#peerReads.answered(peer, name, text ?? undefined),
     'set-conflict': (_host, { generation, digests }) =>
       digests.forEach((digest) => this.#judge({ generation, digest })),
   };
 
-  #takeFrame(host: string, frame: SetFrame): void {
+  #takeFrame(peer: string, frame: SetFrame): void {
     const handler = this.#frameHandlers[frame.kind] as (from: string, each: SetFrame) => void;
-    handler(host, frame);
+    handler(peer, frame);
   }
 
-  #serve(host: string, name: string): void {
+  #serve(peer: string, name: string): void {
     const held = this.#store.find(name);
-    const forwardTo = held === undefined ? this.#forwardTarget(host) : undefined;
+    const forwardTo = held === undefined ? this.#forwardTarget(peer) : undefined;
     if (forwardTo === undefined) {
-      this.#answer(host, name, held);
+      this.#answer(peer, name, held);
       return;
     }
     this.#peerReads
       .read(forwardTo, name)
-      .catch(() => undefined)
-      .then((text) => this.#answer(host, name, text))
+      .catch(() => {
+        this.#peers.delete(forwardTo);
+        return undefined;
+      })
+      .then((text) => this.#answer(peer, name, text))
       .catch((error: unknown) => this.#options.log('internalError', { detail: String(error) }));
   }
 
-  #answer(host: string, name: string, text: string | undefined): void {
-    this.#options.send(host, { kind: 'set-value', name, text: text ?? null });
+  #answer(peer: string, name: string, text: string | undefined): void {
+    this.#options.send(peer, { kind: 'set-value', name, text: text ?? null });
   }
 
   /** Returns the peer that most likely holds what another peer asks for. */
   #forwardTarget(asking: string): string | undefined {
     if (!this.#options.forwards) return undefined;
     const others = [...this.#peers].filter(
-      ([host, { generation }]) =>
-        host !== asking && generation >= this.#acceptance.inForce.generation,
+      ([peer, { generation }]) =>
+        peer !== asking && generation >= this.#acceptance.inForce.generation,
     );
     return others.sort(([, a], [, b]) => b.generation - a.generation)[0]?.[0];
   }
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -66,7 +66,7 @@
     }
   | { readonly kind: 'closed'; readonly number: ConnectionNumber }
   | { readonly kind: 'set'; readonly set: PublishedSet }
-  | { readonly kind: 'send-set'; readonly host: string; readonly frame: SetFrame }
+  | { readonly kind: 'send-set'; readonly peer: string; readonly frame: SetFrame }
   | { readonly kind: 'tick' }
   | { readonly kind: 'leave'; readonly onEmpty: () => void }
   | EngineMessage
@@ -99,10 +99,10 @@
 
   #onEmpty: (() => void) | undefined;
 
-  #toldEmpty = false;
-
   #onSetNews: ((news: SetNews) => void) | undefined;
 
+  #toldEmpty = false;
+
   constructor(options: SidecarTaskOptions) {
     this.#options = options;
     const { identity, linkKeys, nonce, heartbeatMs = 250 } = options;
@@ -160,8 +160,8 @@
   }
 
   /** Sends a frame of the set to an entry. */
-  sendSet(host: string, frame: SetFrame): void {
-    this.#mailbox.post({ kind: 'send-set', host, frame });
+  sendSet(peer: string, frame: SetFrame): void {
+    this.#mailbox.post({ kind: 'send-set', peer, frame });
   }
 
   /** Refuses new work and calls `onEmpty` once all work has ended and entries know it. */
@@ -191,7 +191,7 @@
       this.#links.closed(number);
     },
     set: ({ set }) => this.#takeSet(set),
-    'send-set': ({ host, frame }) => this.#perform(this.#links.sendSet(host, frame)),
+    'send-set': ({ peer, frame }) => this.#perform(this.#links.sendSet(peer, frame)),
     tick: () => {
       this.#engineRunner?.tick();
       this.#perform(this.#links.tick(this.#now()));
@@ -284,8 +284,8 @@
     },
     run: ({ exchange, call, deadline }) => this.#run(exchange, call, deadline),
     cancel: ({ exchange }) => this.#engineRunner?.cancel(exchange),
-    'peer-set': ({ host, set }) => this.#onSetNews?.({ kind: 'peer-set', host, set }),
-    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', host, frame }),
+    'peer-set': ({ peer, set }) => this.#onSetNews?.({ kind: 'peer-set', peer, set }),
+    'set-frame': ({ peer, frame }) => this.#onSetNews?.({ kind: 'peer-frame', peer, frame }),
     refused: ({ detail }) => this.#options.log('linkRefused', { detail }),
   };
 
