--- a/bench/policy/cases.ts
+++ b/bench/policy/cases.ts
@@ -36,4 +36,5 @@
   'load-60': { offered: 0.6 },
   'load-90': { offered: 0.9 },
   'load-130': { offered: 1.3 },
+  'load-250': { offered: 2.5 },
 };
--- a/bench/policy/simulatedServer.ts
+++ b/bench/policy/simulatedServer.ts
@@ -65,6 +65,8 @@
 
   #wantsInspection = true;
 
+  #isInspecting = false;
+
   constructor(options: SimulatedServerOptions) {
     this.#options = options;
     this.name = options.name;
@@ -73,6 +75,11 @@
     this.residence = new Residence(options.residence);
   }
 
+  /** Whether the engine owes an answer, which comes as a promise. */
+  get awaitsReply(): boolean {
+    return this.#ordersInFlight > 0 || this.#isInspecting;
+  }
+
   /** Takes a request. */
   submit(request: ServerRequest): void {
     const { arrival, deadline } = request;
@@ -111,9 +118,13 @@
   #inspect(): void {
     if (!this.#wantsInspection || this.#ordersInFlight > 0) return;
     this.#wantsInspection = false;
+    this.#isInspecting = true;
     this.engine
       .readState()
-      .then(({ resident }) => this.#perform(this.residence.inspected(resident, this.#now())))
+      .then(({ resident }) => {
+        this.#isInspecting = false;
+        this.#perform(this.residence.inspected(resident, this.#now()));
+      })
       .catch(() => this.residence.doubt());
   }
 
