--- a/core/placement/routeCost.ts
+++ b/core/placement/routeCost.ts
@@ -35,6 +35,9 @@
 /** Time until a slot in use comes free. */
 const SLOT_WAIT_MS: Milliseconds = 1500;
 
+/** Missing slots beyond which waiting for one counts no more. */
+const MISSING_SLOTS = 2;
+
 /** Time until a full batch takes in another request, for each batch ahead. */
 const BATCH_WAIT_MS: Milliseconds = 2000;
 
@@ -49,10 +52,11 @@
 
 function stallOf(facts: RouteFacts): Milliseconds {
   if (facts.isResident) return 0;
-  const ahead = facts.isWanted ? facts.wanted / 2 : facts.wanted;
-  const missing = Math.max(0, ahead + 1 - facts.freeSlots);
-  const slotWait = facts.isWanted ? 0 : Math.min(2, missing) * SLOT_WAIT_MS;
-  return LOAD_MS + ahead * LOAD_GAP_MS + slotWait;
+  const loadsMs = LOAD_MS + facts.wanted * LOAD_GAP_MS;
+  // A load that was asked for earlier is on average half done.
+  if (facts.isWanted) return loadsMs / 2;
+  const missing = Math.max(0, facts.wanted + 1 - facts.freeSlots);
+  return loadsMs + Math.min(MISSING_SLOTS, missing) * SLOT_WAIT_MS;
 }
 
 function queueOf({ load, batchWidth }: RouteFacts): Milliseconds {
--- /dev/null
+++ b/core/placement/routeTable.test.ts
@@ -0,0 +1,86 @@
+import { expect } from 'chai';
+import { RouteTable } from './routeTable.ts';
+import type { ServerReport } from './routeTable.ts';
+
+const HOSTS = ['a', 'b', 'c', 'd'];
+
+function report(host: string, changes: Partial<ServerReport> = {}): ServerReport {
+  const load = { running: 0, waiting: 0, batchWidth: 4, freeSlots: 2, displacedUses: 0 };
+  return { host, ...load, resident: [], wanted: [], ...changes };
+}
+
+function createTable(policy: 'load-stalls' | 'batch-efficiency' = 'load-stalls'): RouteTable {
+  const table = new RouteTable({ policy });
+  HOSTS.forEach((host) => table.add(host, 0));
+  HOSTS.forEach((host) => table.note(report(host)));
+  return table;
+}
+
+function any(): boolean {
+  return true;
+}
+
+/** Returns a host that is not among the first two for an adapter version. */
+function unlikelyHost(table: RouteTable, adapterVersion: string): string {
+  const first = table.choose(adapterVersion, any);
+  const second = table.choose(adapterVersion, (host) => host !== first);
+  return HOSTS.find((host) => host !== first && host !== second)!;
+}
+
+describe('RouteTable', () => {
+  describe('choose', () => {
+    it('returns nothing when no server may take the request', () => {
+      expect(createTable().choose('t/a@1', () => false)).to.equal(undefined);
+    });
+
+    it('prefers a server that holds the adapter version, wherever it is', () => {
+      const table = createTable();
+      const holder = unlikelyHost(table, 't/a@1');
+      table.note(report(holder, { resident: ['t/a@1'] }));
+      expect(table.choose('t/a@1', any)).to.equal(holder);
+      table.note(report(holder));
+      expect(table.choose('t/a@1', any)).not.to.equal(holder);
+    });
+
+    it('leaves a holder whose batches are full for longer than a load takes', () => {
+      const table = createTable();
+      const holder = unlikelyHost(table, 't/a@1');
+      table.note(report(holder, { resident: ['t/a@1'], running: 4, waiting: 4 }));
+      expect(table.choose('t/a@1', any)).not.to.equal(holder);
+    });
+
+    it('counts its own requests that a report does not show yet', () => {
+      const table = createTable();
+      const holder = unlikelyHost(table, 't/a@1');
+      table.note(report(holder, { resident: ['t/a@1'] }));
+      for (let request = 0; request < 8; request += 1) table.sent(holder, 't/a@1');
+      expect(table.choose('t/a@1', any)).not.to.equal(holder);
+      for (let request = 0; request < 8; request += 1) table.ended(holder, 't/a@1');
+      expect(table.choose('t/a@1', any)).to.equal(holder);
+    });
+
+    it('joins a load that its own request has caused', () => {
+      const table = createTable();
+      const holder = unlikelyHost(table, 't/a@1');
+      table.sent(holder, 't/a@1');
+      table.note(report(holder));
+      expect(table.choose('t/a@1', any)).to.equal(holder);
+    });
+
+    it('fills a batch that runs when batch efficiency comes first', () => {
+      const table = createTable('batch-efficiency');
+      const [idle = '', busy = ''] = HOSTS;
+      table.note(report(idle, { resident: ['t/a@1'] }));
+      table.note(report(busy, { resident: ['t/a@1'], running: 3 }));
+      const either = (host: string): boolean => host === idle || host === busy;
+      expect(table.choose('t/a@1', either)).to.equal(busy);
+    });
+
+    it('forgets a server that was removed', () => {
+      const table = createTable();
+      table.note(report('a', { resident: ['t/a@1'] }));
+      table.remove('a');
+      expect(table.choose('t/a@1', (host) => host === 'a')).to.equal(undefined);
+    });
+  });
+});
--- a/core/placement/routeTable.ts
+++ b/core/placement/routeTable.ts
@@ -58,7 +58,7 @@
   'batch-efficiency': {
     stall: 1,
     queue: 1,
-    batchLoss: 1,
+    batchLoss: 4,
     distance: 1,
     disagreement: 1,
     displaced: 1,
--- /dev/null
+++ b/core/residence/residence.test.ts
@@ -0,0 +1,107 @@
+import { expect } from 'chai';
+import { createStaticRate } from './loadRate.ts';
+import { Residence } from './residence.ts';
+import type { ResidenceAction, ResidenceOptions } from './residence.ts';
+
+const DEADLINE = 60_000;
+
+function createResidence(options: Partial<ResidenceOptions> = {}): Residence {
+  const loadRate = createStaticRate(1000);
+  const residence = new Residence({ slots: 2, batchWidth: 2, loadRate, ...options });
+  residence.inspected([], 0);
+  return residence;
+}
+
+function enqueue(
+  residence: Residence,
+  name: string,
+  adapterVersion: string,
+  now: number,
+): readonly ResidenceAction[] {
+  return residence.enqueue({ name, adapterVersion, deadline: DEADLINE }, now);
+}
+
+function ordersOf(actions: readonly ResidenceAction[]): readonly string[] {
+  return actions.flatMap((action) =>
+    action.kind === 'order' ? [`${action.order.kind} ${action.order.adapterVersion}`] : [],
+  );
+}
+
+/** Loads an adapter version by one request, which then ends. */
+function use(residence: Residence, adapterVersion: string, now: number): void {
+  const orders = ordersOf(enqueue(residence, `${adapterVersion}-${now}`, adapterVersion, now));
+  if (orders.length > 0) residence.ordered({ kind: 'load', adapterVersion }, 'obeyed', now);
+  residence.finished(`${adapterVersion}-${now}`, now);
+}
+
+function startsOf(actions: readonly ResidenceAction[]): readonly string[] {
+  return actions.flatMap((action) => (action.kind === 'start' ? [action.request] : []));
+}
+
+describe('Residence', () => {
+  describe('enqueue', () => {
+    it('loads once for all requests of an adapter version and starts them together', () => {
+      const residence = createResidence();
+      expect(ordersOf(enqueue(residence, 'r1', 'a', 0))).to.deep.equal(['load a']);
+      expect(enqueue(residence, 'r2', 'a', 1)).to.deep.equal([]);
+      const actions = residence.ordered({ kind: 'load', adapterVersion: 'a' }, 'obeyed', 250);
+      expect(startsOf(actions)).to.deep.equal(['r1', 'r2']);
+    });
+
+    it('refuses at once what cannot start before its deadline', () => {
+      const residence = createResidence({ loadRate: createStaticRate(1) });
+      for (let index = 0; index < 8; index += 1) enqueue(residence, `r${index}`, `a${index}`, 0);
+      const late = { name: 'late', adapterVersion: 'z', deadline: 5000 };
+      const [action] = residence.enqueue(late, 0);
+      expect(action).to.have.nested.property('outcome.reason', 'overloaded');
+      expect(action).to.have.nested.property('outcome.retryAfterMs', 8000);
+      const early = { name: 'early', adapterVersion: 'y', deadline: 10_000 };
+      expect(residence.enqueue(early, 0)).to.deep.equal([]);
+    });
+  });
+
+  describe('tick', () => {
+    it('refuses requests whose deadline has passed, and only those', () => {
+      const residence = createResidence({ refuses: 'none' });
+      residence.enqueue({ name: 'r1', adapterVersion: 'a', deadline: 100 }, 0);
+      enqueue(residence, 'r2', 'a', 0);
+      const actions = residence.tick(100);
+      expect(actions).to.have.length(1);
+      expect(actions[0]).to.include({ kind: 'refuse', request: 'r1' });
+      expect(residence.waiting).to.equal(1);
+    });
+  });
+
+  describe('loads', () => {
+    it('go first to the adapter version that more requests wait for', () => {
+      const residence = createResidence({ slots: 3 });
+      enqueue(residence, 'r0', 'first', 0);
+      enqueue(residence, 'r1', 'one', 10);
+      ['r2', 'r3', 'r4'].forEach((name) => enqueue(residence, name, 'three', 20));
+      const order = { kind: 'load', adapterVersion: 'first' } as const;
+      expect(ordersOf(residence.ordered(order, 'obeyed', 250))).to.deep.equal(['load three']);
+    });
+
+    it('displace the adapter version that was used least, never one in use', () => {
+      const residence = createResidence();
+      [0, 10, 20].forEach((now) => use(residence, 'often', now));
+      use(residence, 'once', 30);
+      expect(ordersOf(enqueue(residence, 'r1', 'new', 1000))).to.deep.equal(['unload once']);
+      residence.ordered({ kind: 'unload', adapterVersion: 'once' }, 'obeyed', 1001);
+      residence.ordered({ kind: 'load', adapterVersion: 'new' }, 'obeyed', 1251);
+      enqueue(residence, 'r2', 'often', 1300);
+      expect(ordersOf(enqueue(residence, 'r3', 'newer', 3000))).to.deep.equal([]);
+    });
+
+    it('come again for requests that wait while their adapter version is unloaded', () => {
+      const residence = createResidence({ slots: 1 });
+      use(residence, 'old', 0);
+      expect(ordersOf(enqueue(residence, 'r1', 'new', 1000))).to.deep.equal(['unload old']);
+      enqueue(residence, 'r2', 'old', 1001);
+      const unloaded = residence.ordered({ kind: 'unload', adapterVersion: 'old' }, 'obeyed', 1002);
+      expect(ordersOf(unloaded)).to.deep.equal(['load new']);
+      residence.ordered({ kind: 'load', adapterVersion: 'new' }, 'obeyed', 1252);
+      expect(ordersOf(residence.finished('r1', 2000))).to.deep.equal(['unload new']);
+    });
+  });
+});
