--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -3,7 +3,7 @@
 import { RetryBudget } from '../../core/admission/mod.ts';
 import type { Clock } from '../../core/clock/mod.ts';
 import type { ExchangeName } from '../../core/identity/mod.ts';
-import type { ExchangeEvent, Identity, LinkTiming } from '../../core/link/mod.ts';
+import type { ExchangeEvent, Identity, LinkTiming, SetFrame } from '../../core/link/mod.ts';
 import { Membership } from '../../core/membership/mod.ts';
 import type { ListedHost, MembershipChange } from '../../core/membership/mod.ts';
 import { failed, isRetryable, notRun, unknown } from '../../core/outcome/mod.ts';
@@ -14,8 +14,10 @@
 import type { Handlers } from '../_handlers.ts';
 import { Mailbox } from '../mailbox/mod.ts';
 import type { Dial } from '../ports/mod.ts';
+import type { SetNews } from '../set/mod.ts';
 import { callFor, checkWhole, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestFacts } from './_openRequest.ts';
+import { keyedOutcome } from './_keyedOutcome.ts';
 import { LinkTable } from './_linkTable.ts';
 import { planCall } from './_planCall.ts';
 import { noteToken, requestSample } from './_requestSample.ts';
@@ -93,6 +95,8 @@
 
   #onEmpty: (() => void) | undefined;
 
+  #onSetNews: ((news: SetNews) => void) | undefined;
+
   constructor(options: EntryTaskOptions) {
     this.#options = options;
     const { clock, identity } = options;
@@ -119,6 +123,16 @@
     this.#mailbox.post({ kind: 'set', set });
   }
 
+  /** Sets who is told what the links say of the set. */
+  followSetNews(onSetNews: (news: SetNews) => void): void {
+    this.#onSetNews = onSetNews;
+  }
+
+  /** Sends a frame of the set to a sidecar. */
+  sendSet(host: string, frame: SetFrame): void {
+    this.#links.get(host)?.sendSet(frame);
+  }
+
   /** Serves a request; its events end with exactly one `final`. */
   submit(submission: Submission): void {
     this.#mailbox.post({ kind: 'submit', submission });
@@ -157,6 +171,11 @@
     return this.#burn.snapshot(this.#options.clock.now());
   }
 
+  /** The hosts that the platform lists. */
+  get members(): readonly ListedHost[] {
+    return this.#membership.members;
+  }
+
   /** Returns the names that a caller may use as `model`. */
   modelsOf(tokenSha256: string): readonly string[] {
     const set = this.#set;
@@ -184,6 +203,7 @@
       this.#checkEmpty();
     },
     'link-status': ({ status }) => this.#noteStatus(status),
+    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', host, frame }),
     'exchange-event': ({ exchange, event }) => this.#noteEvent(exchange, event),
   };
 
@@ -232,6 +252,7 @@
     this.#links.retire(host, this.#isUsed);
     this.#statuses.delete(host);
     this.#router.forget(host);
+    this.#onSetNews?.({ kind: 'peer-gone', host });
   }
 
   readonly #isUsed = (link: LinkTask): boolean =>
@@ -241,6 +262,10 @@
     if (this.#links.get(status.host) === undefined) return;
     this.#statuses.set(status.host, status);
     this.#router.noteStatus(status);
+    const { host, health, peerSet: set } = status;
+    this.#onSetNews?.(
+      health === 'ready' ? { kind: 'peer-set', host, set } : { kind: 'peer-gone', host },
+    );
     if (status.report.leaving) {
       this.#membership.announceLeaving(status.host, status.incarnation);
     }
@@ -262,13 +287,11 @@
     this.#send(request);
   }
 
-  #answerRefusal(submission: Submission, outcome: NotRun): void {
+  #answerRefusal(submission: Submission, refusal: NotRun): void {
+    const outcome = keyedOutcome(submission.request, refusal);
+    const reason = outcome.kind === 'done' ? undefined : outcome.reason;
     const generation = this.#set?.generation ?? 0;
-    this.#options.log('requestEnded', {
-      request: submission.name,
-      outcome: outcome.kind,
-      reason: outcome.reason,
-    });
+    this.#options.log('requestEnded', { request: submission.name, outcome: outcome.kind, reason });
     submission.onEvent({ kind: 'final', outcome, tokens: 0, digest: '', body: '', generation });
   }
 
@@ -361,7 +384,8 @@
     request.tried.add(request.host);
     this.#router.noteOutcome(request.host, outcome);
     if (this.#mayRetry(request, outcome)) {
-      this.#options.log('requestRetried', { request: request.submission.name, host: request.host });
+      const { submission, exchange, host } = request;
+      this.#options.log('requestRetried', { request: submission.name, exchange, peer: host });
       this.#send(request);
       return;
     }
@@ -400,19 +424,27 @@
 
   #finish(
     request: OpenRequest,
-    outcome: Outcome,
+    ending: Outcome,
     answer: { readonly digest: string; readonly body: string } = { digest: '', body: '' },
   ): void {
-    const { submission, tokens, generation, host } = request;
+    const { submission, tokens, generation, host, exchange } = request;
+    const outcome = keyedOutcome(submission.request, ending);
     request.cancelDeadline();
     this.#byExchange.delete(request.exchange);
     this.#router.ended(request.exchange);
     this.#requests.delete(submission.name);
-    this.#recordBurn(request, outcome);
     if (request.link !== undefined) this.#links.release(request.link, this.#isUsed);
+    this.#recordBurn(request, outcome);
     const elapsedMs = Math.round(this.#options.clock.now() - request.startedAt);
     const reason = outcome.kind === 'done' ? undefined : outcome.reason;
-    const fields = { request: submission.name, host, outcome: outcome.kind, reason, elapsedMs };
+    const fields = {
+      request: submission.name,
+      exchange,
+      peer: host,
+      outcome: outcome.kind,
+      reason,
+      elapsedMs,
+    };
     this.#options.log('requestEnded', fields);
     const { digest, body } = answer;
     const final: SubmissionEvent = { kind: 'final', outcome, tokens, digest, body, generation };
