--- a/bench/capacity/measureSlopes.ts
+++ b/bench/capacity/measureSlopes.ts
@@ -38,6 +38,8 @@
 
 const SECONDS = 60;
 
+const CANDIDATES = 64;
+
 const CHANGE_RUNS = 50;
 
 const CHUNK = { kind: 'chunk', text: ' legajo', tokens: 1 } as const;
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -1,5 +1,6 @@
 import { BurnRecorder } from '../../core/burn/mod.ts';
 import type { BurnSnapshot } from '../../core/burn/mod.ts';
+import { RetryBudget } from '../../core/admission/mod.ts';
 import type { Clock } from '../../core/clock/mod.ts';
 import type { ExchangeName } from '../../core/identity/mod.ts';
 import type { ExchangeEvent, Identity, LinkTiming, SetFrame } from '../../core/link/mod.ts';
@@ -80,10 +81,12 @@
 
   readonly #byExchange = new Map<ExchangeName, OpenRequest>();
 
-  readonly #burn: BurnRecorder;
-
   readonly #router: Router;
 
+  readonly #retries = new RetryBudget();
+
+  readonly #burn: BurnRecorder;
+
   #set: PublishedSet | undefined;
 
   #exchanges = 0;
@@ -97,12 +100,13 @@
   constructor(options: EntryTaskOptions) {
     this.#options = options;
     const { clock, identity } = options;
-    this.#burn = new BurnRecorder({ identity, startedAt: clock.now() });
     this.#router = new Router({
+      clock,
       membership: this.#membership,
       statuses: this.#statuses,
       availabilityZone: options.availabilityZone,
     });
+    this.#burn = new BurnRecorder({ identity, startedAt: clock.now() });
     this.#mailbox = new Mailbox<Message>({
       handle: (message) => dispatch(this.#handlers, message),
       onError: (error) => options.log('internalError', { detail: String(error) }),
@@ -206,8 +210,8 @@
   #takeSet(set: PublishedSet): void {
     if (set.generation <= (this.#set?.generation ?? 0)) return;
     this.#set = set;
-    this.#burn.applyObjectives(set.objectives);
     this.#router.noteSet(set);
+    this.#burn.applyObjectives(set.objectives);
     const { generation, digest } = set;
     this.#links.current.forEach((link) => link.noteSet({ generation, digest }));
   }
@@ -247,8 +251,8 @@
   #closeLink(host: string): void {
     this.#links.retire(host, this.#isUsed);
     this.#statuses.delete(host);
-    this.#onSetNews?.({ kind: 'peer-gone', peer: host });
     this.#router.forget(host);
+    this.#onSetNews?.({ kind: 'peer-gone', peer: host });
   }
 
   readonly #isUsed = (link: LinkTask): boolean =>
@@ -257,11 +261,11 @@
   #noteStatus(status: LinkStatus): void {
     if (this.#links.get(status.host) === undefined) return;
     this.#statuses.set(status.host, status);
+    this.#router.noteStatus(status);
     const { host: peer, health, peerSet: set } = status;
     this.#onSetNews?.(
       health === 'ready' ? { kind: 'peer-set', peer, set } : { kind: 'peer-gone', peer },
     );
-    this.#router.noteStatus(status);
     if (status.report.leaving) {
       this.#membership.announceLeaving(status.host, status.incarnation);
     }
@@ -274,6 +278,7 @@
       this.#answerRefusal(submission, facts);
       return;
     }
+    this.#retries.noteRequest();
     const request = openRequest(facts);
     this.#requests.set(submission.name, request);
     request.cancelDeadline = clock.schedule(submission.timeoutMs, () =>
@@ -377,13 +382,8 @@
     this.#byExchange.delete(request.exchange);
     this.#router.ended(request.exchange);
     request.tried.add(request.host);
-    const { attempts = 3 } = this.#options;
-    const again = isRetryable(outcome) && !request.started && request.tried.size < attempts;
-    if (
-      again &&
-      request.destination.kind !== 'host' &&
-      this.#router.choose(request) !== undefined
-    ) {
+    this.#router.noteOutcome(request.host, outcome);
+    if (this.#mayRetry(request, outcome)) {
       const { submission, exchange, host } = request;
       this.#options.log('requestRetried', { request: submission.name, exchange, peer: host });
       this.#send(request);
@@ -392,6 +392,18 @@
     this.#finish(request, outcome, event);
   }
 
+  #mayRetry(request: OpenRequest, outcome: Outcome): boolean {
+    const { attempts = 3 } = this.#options;
+    return (
+      isRetryable(outcome) &&
+      !request.started &&
+      request.tried.size < attempts &&
+      request.destination.kind !== 'host' &&
+      this.#router.choose(request) !== undefined &&
+      this.#retries.tryRetry()
+    );
+  }
+
   #abandon(name: string): void {
     const request = this.#requests.get(name);
     if (request === undefined) return;
--- a/tasks/sidecar/engineRunner.ts
+++ b/tasks/sidecar/engineRunner.ts
@@ -63,10 +63,11 @@
 
 const RETRY_AFTER_MS = 500;
 
-const SUPERSEDED = notRun('leaving', 'this host is being replaced; ask again', RETRY_AFTER_MS);
 /** Adapter versions that a load report names as wanted. */
 const REPORTED_WANTED = 16;
 
+const SUPERSEDED = notRun('leaving', 'this host is being replaced; ask again', RETRY_AFTER_MS);
+
 /** A gap between ticks after which the process takes itself to have been paused. */
 const PAUSE_MS = 2000;
 
