--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,6 +1,7 @@
 import { Builtins, Cli } from 'clipanion';
 import { BenchCapacityCommand } from './benchCapacityCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
+import { BenchRecoveryCommand } from './benchRecoveryCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
 import { ScenarioRunCommand } from './scenarioRunCommand.ts';
@@ -22,6 +23,7 @@
   Builtins.VersionCommand,
   BenchCapacityCommand,
   BenchPolicyCommand,
+  BenchRecoveryCommand,
   DemoCommand,
   EntryCommand,
   ScenarioRunCommand,
--- a/scenario/session/session.ts
+++ b/scenario/session/session.ts
@@ -58,6 +58,9 @@
   /** Keys by the request that minted or used them. */
   readonly keys = new Map<string, string>();
 
+  /** Called after each step of the clock. */
+  onStep: (() => void) | undefined;
+
   readonly #journal: string[] = [];
 
   /** Published sets that a stale configuration service does not show yet. */
@@ -166,7 +169,10 @@
     for (;;) {
       const { clock } = this.world;
       const end = Math.min(target, clock.now() + SAMPLE_MS);
-      const held = await this.world.advanceUntil(condition, end - clock.now());
+      const held = await this.world.advanceUntil(() => {
+        this.onStep?.();
+        return condition();
+      }, end - clock.now());
       if (!held) clock.moveTo(end);
       this.#sample();
       if (held || clock.now() >= target) return held || condition();
