--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -1,10 +1,16 @@
-/** A guard of a promise, how to remove it, and the scenarios that must notice. */
-export type Guard = {
-  readonly name: string;
+/** A change that removes a guard. */
+export type Removal = {
   readonly file: string;
   /** Text that occurs once in the file. */
   readonly guard: string;
   readonly without: string;
+};
+
+/** A guard of a promise, how to remove it, and the scenarios that must notice. */
+export type Guard = Removal & {
+  readonly name: string;
+  /** Further guards of the same promise, each of which alone would keep it. */
+  readonly also?: readonly Removal[];
   /** Scenarios, by name, of which one must go red. */
   readonly noticedBy: readonly string[];
 };
@@ -28,6 +34,13 @@
     file: ENGINE_RUNNER,
     guard: 'if (servedBy !== adapterVersion) {',
     without: 'if (servedBy === undefined) {',
+    also: [
+      {
+        file: ENTRY_TASK,
+        guard: "if (call.kind === 'completion' && event.servedBy !== call.adapterVersion) {",
+        without: "if (call.kind === 'completion' && event.servedBy === '') {",
+      },
+    ],
     noticedBy: ['wrong-adapter'],
   },
   {
@@ -45,10 +58,10 @@
     noticedBy: ['silent-link', 'cut-link', 'paused-entry'],
   },
   {
-    name: 'events kept until acknowledged',
+    name: 'events sent again that the entry has not seen',
     file: SIDECAR_LINK,
-    guard: 'state.events.push(event);',
-    without: 'if (owner.connection !== undefined) state.events.push(event);',
+    guard: 'frame.resume.forEach((point) => this.#replay(connection, link, point));',
+    without: '',
     noticedBy: ['cut-link', 'silent-link', 'paused-entry'],
   },
   {
@@ -78,7 +91,14 @@
     file: SIDECAR_LINK,
     guard: "if (previous !== undefined) this.#drop(previous, 'a newer epoch took its place');",
     without: '',
-    noticedBy: ['revoked-before-late-call', 'one-way-cut', 'silent-link'],
+    also: [
+      {
+        file: SIDECAR_LINK,
+        guard: 'if (link.connection !== connection) return;',
+        without: '',
+      },
+    ],
+    noticedBy: ['fenced-call', 'one-way-cut', 'silent-link'],
   },
   {
     name: 'requests of an earlier incarnation end as unknown',
@@ -106,6 +126,13 @@
     file: SIDECAR_LINK,
     guard: "if (frame.target !== identity.host || frame.identity.role !== 'entry') {",
     without: "if (frame.identity.role !== 'entry') {",
+    also: [
+      {
+        file: ENTRY_LINK,
+        guard: 'if (key === undefined || !isTarget) {',
+        without: 'if (key === undefined || isTarget === undefined) {',
+      },
+    ],
     noticedBy: ['usurped-address'],
   },
   {
@@ -151,17 +178,17 @@
     noticedBy: ['listed-as-leaving'],
   },
   {
-    name: 'the sidecar refuses new work once it leaves',
+    name: 'a leaving sidecar refuses new work and says so',
     file: SIDECAR_TASK,
     guard: 'if (isNewWork && this.#onEmpty !== undefined) {',
     without: 'if (isNewWork && this.#onEmpty === null) {',
-    noticedBy: ['shutdown-sidecar', 'lagging-host-list'],
-  },
-  {
-    name: 'a leaving sidecar says so in its reports',
-    file: SIDECAR_TASK,
-    guard: 'const leaving = this.#onEmpty !== undefined ||',
-    without: 'const leaving =',
+    also: [
+      {
+        file: SIDECAR_TASK,
+        guard: 'const leaving = this.#onEmpty !== undefined ||',
+        without: 'const leaving =',
+      },
+    ],
     noticedBy: ['shutdown-sidecar', 'lagging-host-list'],
   },
   {
@@ -230,8 +257,8 @@
   {
     name: 'late requests not run',
     file: 'tasks/sidecar/serviceRunner.ts',
-    guard: 'if (deadline <= now) {',
-    without: 'if (now < 0) {',
+    guard: "if (call.kind === 'service-call' && deadline <= now) {",
+    without: "if (call.kind === 'service-call' && deadline < 0) {",
     noticedBy: ['late-booking'],
   },
   {
@@ -244,8 +271,8 @@
   {
     name: 'a pinned adapter is no victim',
     file: 'core/residence/residence.ts',
-    guard: 'slot.pins === 0 && !this.#queues',
-    without: '!this.#queues',
+    guard: 'slot.pins === 0 && !this.#queues.has(name);',
+    without: '!this.#queues.has(name);',
     noticedBy: ['whole-answers'],
   },
 ];
--- a/tools/mutants/main.ts
+++ b/tools/mutants/main.ts
@@ -1,9 +1,17 @@
 import { execFileSync, spawnSync } from 'node:child_process';
-import { cpSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs';
+import {
+  copyFileSync,
+  mkdirSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  symlinkSync,
+  writeFileSync,
+} from 'node:fs';
 import { tmpdir } from 'node:os';
-import { join, resolve } from 'node:path';
+import { dirname, join, resolve } from 'node:path';
 import { GUARDS } from './guards.ts';
-import type { Guard } from './guards.ts';
+import type { Guard, Removal } from './guards.ts';
 
 /** Time after which a run without a guard counts as one that does not end. */
 const RUN_TIMEOUT_MS = 120_000;
@@ -17,7 +25,10 @@
     .toString()
     .split('\n')
     .filter((file) => file !== '')
-    .forEach((file) => cpSync(file, join(scratch, file)));
+    .forEach((file) => {
+      mkdirSync(dirname(join(scratch, file)), { recursive: true });
+      copyFileSync(file, join(scratch, file));
+    });
   symlinkSync(resolve('node_modules'), join(scratch, 'node_modules'));
   return scratch;
 }
@@ -34,22 +45,29 @@
   return reds;
 }
 
-function tryWithout(scratch: string, guard: Guard): Result {
-  const file = join(scratch, guard.file);
-  const text = readFileSync(file, 'utf8');
-  if (text.split(guard.guard).length !== 2) {
-    throw new Error(
-      `the guard "${guard.name}" must occur once in ${guard.file}; correct guards.ts`,
-    );
+function remove(scratch: string, { file, guard, without }: Removal): void {
+  const path = join(scratch, file);
+  const text = readFileSync(path, 'utf8');
+  if (text.split(guard).length !== 2) {
+    throw new Error(`"${guard}" must occur once in ${file}; correct guards.ts`);
   }
   writeFileSync(
-    file,
-    text.replace(guard.guard, () => guard.without),
+    path,
+    text.replace(guard, () => without),
   );
+}
+
+function restore(scratch: string, { file }: Removal): void {
+  copyFileSync(file, join(scratch, file));
+}
+
+function tryWithout(scratch: string, guard: Guard): Result {
+  const removals = [guard, ...(guard.also ?? [])];
   try {
+    removals.forEach((removal) => remove(scratch, removal));
     return { guard, reds: runScenarios(scratch, guard.noticedBy) };
   } finally {
-    writeFileSync(file, text);
+    removals.forEach((removal) => restore(scratch, removal));
   }
 }
 
