--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -2,7 +2,7 @@
 import type { BurnSnapshot } from '../../core/burn/mod.ts';
 import type { Clock } from '../../core/clock/mod.ts';
 import type { ExchangeName } from '../../core/identity/mod.ts';
-import type { ExchangeEvent, Identity, LinkTiming } from '../../core/link/mod.ts';
+import type { ExchangeEvent, Identity, LinkTiming, SetFrame } from '../../core/link/mod.ts';
 import { Membership } from '../../core/membership/mod.ts';
 import type { ListedHost, MembershipChange } from '../../core/membership/mod.ts';
 import { failed, isRetryable, notRun, unknown } from '../../core/outcome/mod.ts';
@@ -13,6 +13,7 @@
 import type { Handlers } from '../_handlers.ts';
 import { Mailbox } from '../mailbox/mod.ts';
 import type { Dial } from '../ports/mod.ts';
+import type { SetNews } from '../set/mod.ts';
 import { callFor, checkWhole, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestFacts } from './_openRequest.ts';
 import { keyedOutcome } from './_keyedOutcome.ts';
@@ -89,6 +90,8 @@
 
   #onEmpty: (() => void) | undefined;
 
+  #onSetNews: ((news: SetNews) => void) | undefined;
+
   constructor(options: EntryTaskOptions) {
     this.#options = options;
     const { clock, identity } = options;
@@ -109,6 +112,16 @@
     this.#mailbox.post({ kind: 'set', set });
   }
 
+  /** Sets who is told what the links say of the set. */
+  followSetNews(onSetNews: (news: SetNews) => void): void {
+    this.#onSetNews = onSetNews;
+  }
+
+  /** Sends a frame of the set to a sidecar. */
+  sendSet(host: string, frame: SetFrame): void {
+    this.#links.get(host)?.sendSet(frame);
+  }
+
   /** Serves a request; its events end with exactly one `final`. */
   submit(submission: Submission): void {
     this.#mailbox.post({ kind: 'submit', submission });
@@ -147,6 +160,11 @@
     return this.#burn.snapshot(this.#options.clock.now());
   }
 
+  /** The hosts that the platform lists. */
+  get members(): readonly ListedHost[] {
+    return this.#membership.members;
+  }
+
   /** Returns the names that a caller may use as `model`. */
   modelsOf(tokenSha256: string): readonly string[] {
     const set = this.#set;
@@ -174,6 +192,7 @@
       this.#checkEmpty();
     },
     'link-status': ({ status }) => this.#noteStatus(status),
+    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', host, frame }),
     'exchange-event': ({ exchange, event }) => this.#noteEvent(exchange, event),
   };
 
@@ -220,6 +239,7 @@
   #closeLink(host: string): void {
     this.#links.retire(host, this.#isUsed);
     this.#statuses.delete(host);
+    this.#onSetNews?.({ kind: 'peer-gone', host });
   }
 
   readonly #isUsed = (link: LinkTask): boolean =>
@@ -228,6 +248,10 @@
   #noteStatus(status: LinkStatus): void {
     if (this.#links.get(status.host) === undefined) return;
     this.#statuses.set(status.host, status);
+    const { host, health, peerSet: set } = status;
+    this.#onSetNews?.(
+      health === 'ready' ? { kind: 'peer-set', host, set } : { kind: 'peer-gone', host },
+    );
     if (status.report.leaving) {
       this.#membership.announceLeaving(status.host, status.incarnation);
     }
@@ -353,7 +377,8 @@
     const { attempts = 3 } = this.#options;
     const again = isRetryable(outcome) && !request.started && request.tried.size < attempts;
     if (again && request.destination.kind !== 'host' && this.#chooseHost(request) !== undefined) {
-      this.#options.log('requestRetried', { request: request.submission.name, host: request.host });
+      const { submission, exchange, host } = request;
+      this.#options.log('requestRetried', { request: submission.name, exchange, peer: host });
       this.#send(request);
       return;
     }
@@ -383,7 +408,7 @@
     ending: Outcome,
     answer: { readonly digest: string; readonly body: string } = { digest: '', body: '' },
   ): void {
-    const { submission, tokens, generation, host } = request;
+    const { submission, tokens, generation, host, exchange } = request;
     const outcome = keyedOutcome(submission.request, ending);
     request.cancelDeadline();
     this.#byExchange.delete(request.exchange);
@@ -392,7 +417,14 @@
     this.#recordBurn(request, outcome);
     const elapsedMs = Math.round(this.#options.clock.now() - request.startedAt);
     const reason = outcome.kind === 'done' ? undefined : outcome.reason;
-    const fields = { request: submission.name, host, outcome: outcome.kind, reason, elapsedMs };
+    const fields = {
+      request: submission.name,
+      exchange,
+      peer: host,
+      outcome: outcome.kind,
+      reason,
+      elapsedMs,
+    };
     this.#options.log('requestEnded', fields);
     const { digest, body } = answer;
     const final: SubmissionEvent = { kind: 'final', outcome, tokens, digest, body, generation };
