--- a/core/link/sidecarLink.ts
+++ b/core/link/sidecarLink.ts
@@ -195,7 +195,7 @@
 
   /** Sends a frame of the set, or drops it when the entry is not connected. */
   sendSet(host: string, frame: SetFrame): readonly SidecarLinksAction[] {
-    const connection = this.#entries.get(host)?.connection;
+    const connection = this.#connectionTo(host);
     if (connection !== undefined) this.#send(connection, frame);
     return this.#takeActions();
   }
@@ -231,6 +231,13 @@
     this.closed(connection.number);
   }
 
+  /** Returns the connection to a host's latest incarnation that has one. */
+  #connectionTo(host: string): Connection | undefined {
+    return [...this.#entries.values()]
+      .filter((link) => link.identity.host === host && link.connection !== undefined)
+      .at(-1)?.connection;
+  }
+
   #refuse(connection: Connection, reason: string): void {
     this.#send(connection, { kind: 'refused', reason });
     this.#actions.push({ kind: 'refused', detail: reason });
