--- a/cli/main.ts
+++ b/cli/main.ts
@@ -5,6 +5,7 @@
 import { BenchPathCommand } from './benchPathCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { BenchSetCommand } from './benchSetCommand.ts';
+import { BenchRecoveryCommand } from './benchRecoveryCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
 import { ScenarioRunCommand } from './scenarioRunCommand.ts';
@@ -32,6 +33,7 @@
   BenchPathCommand,
   BenchPolicyCommand,
   BenchSetCommand,
+  BenchRecoveryCommand,
   DemoCommand,
   EntryCommand,
   ScenarioRunCommand,
