Give processes an administration API that only reads

Cause: the admin address answered any path with the status, to anybody. Operators are objects of the set, so a token is revoked everywhere by one publication; ruled out: hashes in each process's settings, which need a restart to change.

--- /dev/null
+++ b/admin/_compareSets.ts
@@ -0,0 +1,65 @@
+import type { PublishedSet, SetObject } from '../core/set/mod.ts';
+
+/** How one kind of object differs. */
+export type KindDifference = {
+  readonly added: number;
+  readonly changed: number;
+  readonly removed: number;
+  /** Some of the names, each with `+`, `~` or `-` before it. */
+  readonly names: readonly string[];
+};
+
+const MOST_NAMES = 50;
+
+const MAPS = {
+  pool: 'pools',
+  adapter: 'adapters',
+  route: 'routes',
+  service: 'services',
+  backend_server: 'backendServers',
+  limit: 'limits',
+} as const;
+
+type ComparedKind = keyof typeof MAPS;
+
+function compareMaps(
+  before: ReadonlyMap<string, SetObject>,
+  after: ReadonlyMap<string, SetObject>,
+): KindDifference {
+  const added = [...after.keys()].filter((name) => !before.has(name));
+  const removed = [...before.keys()].filter((name) => !after.has(name));
+  const changed = [...after].filter(([name, object]) => {
+    const known = before.get(name);
+    return known !== undefined && JSON.stringify(known) !== JSON.stringify(object);
+  });
+  const names = [
+    ...added.map((name) => `+${name}`),
+    ...changed.map(([name]) => `~${name}`),
+    ...removed.map((name) => `-${name}`),
+  ];
+  return {
+    added: added.length,
+    changed: changed.length,
+    removed: removed.length,
+    names: names.slice(0, MOST_NAMES),
+  };
+}
+
+/**
+ * Compares a proposed set with the one in force.
+ *
+ * @param before The set in force.
+ * @param after The proposed set.
+ * @returns The differences by kind of object, for the kinds by which requests are placed.
+ */
+export function compareSets(
+  before: PublishedSet | undefined,
+  after: PublishedSet,
+): Readonly<Record<ComparedKind, KindDifference>> {
+  const kinds = Object.keys(MAPS) as ComparedKind[];
+  const differences = kinds.map((kind) => {
+    const known = before?.[MAPS[kind]] ?? new Map<string, SetObject>();
+    return [kind, compareMaps(known, after[MAPS[kind]])] as const;
+  });
+  return Object.fromEntries(differences) as Record<ComparedKind, KindDifference>;
+}
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,6 +1,8 @@
 import { Builtins, Cli } from 'clipanion';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
+import { ExplainCommand } from './explainCommand.ts';
+import { ReportBurnCommand } from './reportBurnCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
 import { SetPackCommand } from './setPackCommand.ts';
 import { SettingsCheckCommand } from './settingsCheckCommand.ts';
@@ -19,6 +21,8 @@
   Builtins.VersionCommand,
   DemoCommand,
   EntryCommand,
+  ExplainCommand,
+  ReportBurnCommand,
   SetCheckCommand,
   SetPackCommand,
   SettingsCheckCommand,
--- a/core/link/sidecarLink.ts
+++ b/core/link/sidecarLink.ts
@@ -54,7 +54,7 @@
       readonly deadline: Milliseconds;
     }
   | { readonly kind: 'cancel'; readonly exchange: ExchangeName }
-  | { readonly kind: 'peer-set'; readonly host: string; readonly set: SetStamp }
+  | { readonly kind: 'peer-set'; readonly identity: Identity; readonly set: SetStamp }
   | { readonly kind: 'refused'; readonly detail: string };
 
 type Hello = Extract<EntryFrame, { kind: 'hello' }>;
@@ -249,7 +249,7 @@
         this.#actions.push({ kind: 'cancel', exchange: frame.exchange });
         return;
       default:
-        this.#actions.push({ kind: 'peer-set', host: link.identity.host, set: frame.set });
+        this.#actions.push({ kind: 'peer-set', identity: link.identity, set: frame.set });
     }
   }
 
@@ -331,7 +331,7 @@
     this.#send(connection, { kind: 'ready', unseen, stamp: now, ...this.#options.status() });
     this.#dropUnlisted(link, frame.resume);
     frame.resume.forEach((point) => this.#replay(connection, link, point));
-    this.#actions.push({ kind: 'peer-set', host: hello.identity.host, set: frame.set });
+    this.#actions.push({ kind: 'peer-set', identity: hello.identity, set: frame.set });
   }
 
   /** Returns the state for an entry; a new incarnation of its host ends the earlier one's. */
--- a/core/set/_schemas.ts
+++ b/core/set/_schemas.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { OBJECT_KINDS } from './objects.ts';
+import { OBJECT_KINDS, OPERATOR_SCOPES } from './objects.ts';
 import type { ObjectKind, SetObject } from './objects.ts';
 
 const SIMPLE_NAME = /^[a-z0-9][a-z0-9_-]*$/;
@@ -11,10 +11,16 @@
 const flag = z
   .enum(['true', 'false'], 'must be true or false')
   .transform((text) => text === 'true');
+const tokenSha256 = z.string().regex(/^[0-9a-f]{64}$/, 'must be 64 hexadecimal digits');
 const versions = z
   .string()
   .transform((text) => text.split(',').map((part) => part.trim()))
   .pipe(z.array(version).min(1));
+const scopes = z
+  .string()
+  .default('read')
+  .transform((text) => text.split(',').map((part) => part.trim()))
+  .pipe(z.array(z.enum(OPERATOR_SCOPES, `must be among ${OPERATOR_SCOPES.join(', ')}`)).min(1));
 
 function number(minimum: number, unit: string): z.ZodType<number, string> {
   return z
@@ -36,9 +42,13 @@
     .strictObject({
       name: simpleName,
       tenant: simpleName,
-      token_sha256: z.string().regex(/^[0-9a-f]{64}$/, 'must be 64 hexadecimal digits'),
+      token_sha256: tokenSha256,
     })
-    .transform(({ name, tenant, token_sha256: tokenSha256 }) => ({ name, tenant, tokenSha256 })),
+    .transform((caller) => ({
+      name: caller.name,
+      tenant: caller.tenant,
+      tokenSha256: caller.token_sha256,
+    })),
   base_model: z.strictObject({ name: simpleName }),
   pool: z
     .strictObject({
@@ -96,6 +106,13 @@
       target: objective.target,
       firstTokenMs: objective.first_token_ms,
     })),
+  operator: z
+    .strictObject({ name: simpleName, token_sha256: tokenSha256, scopes })
+    .transform((operator) => ({
+      name: operator.name,
+      tokenSha256: operator.token_sha256,
+      scopes: operator.scopes,
+    })),
 } satisfies Record<ObjectKind, z.ZodType>;
 
 /** One wrong field of an object. */
--- a/core/set/checkSet.ts
+++ b/core/set/checkSet.ts
@@ -113,10 +113,13 @@
     const seen = new Map<string, Declaration>();
     for (const declaration of this.#declarations) {
       const { object } = declaration;
-      if (object.kind === 'caller') {
+      if (object.kind === 'caller' || object.kind === 'operator') {
         const first = seen.get(object.tokenSha256);
         if (first !== undefined) {
-          this.#report(declaration, `has the token of caller ${first.object.name}; issue another`);
+          this.#report(
+            declaration,
+            `has the token of ${first.object.kind} ${first.object.name}; issue another`,
+          );
         }
         seen.set(object.tokenSha256, declaration);
       }
--- a/core/set/mod.ts
+++ b/core/set/mod.ts
@@ -1,7 +1,7 @@
 /** The published set: its objects, checks and packed form. @module */
 export { checkSet } from './checkSet.ts';
 export type { SetCheck } from './checkSet.ts';
-export { OBJECT_KINDS } from './objects.ts';
+export { OBJECT_KINDS, OPERATOR_SCOPES } from './objects.ts';
 export type * from './objects.ts';
 export { HEAD_NAME, MAX_VALUE_BYTES, packSet, partName, setDigest, sha256 } from './packSet.ts';
 export type { PackedSet, PackedValue, SetHead } from './packSet.ts';
--- a/core/set/objects.ts
+++ b/core/set/objects.ts
@@ -87,6 +87,20 @@
   readonly firstTokenMs: number;
 };
 
+/** What an operator's token allows on the administration API. */
+export const OPERATOR_SCOPES = ['read', 'check'] as const;
+
+/** One thing that an operator's token allows. */
+export type OperatorScope = (typeof OPERATOR_SCOPES)[number];
+
+/** Somebody who may use the administration API, known by the SHA-256 of a bearer token. */
+export type Operator = {
+  readonly kind: 'operator';
+  readonly name: string;
+  readonly tokenSha256: string;
+  readonly scopes: readonly OperatorScope[];
+};
+
 /** Any object that operators declare. */
 export type SetObject =
   | Tenant
@@ -98,7 +112,8 @@
   | Service
   | BackendServer
   | TenantLimit
-  | Objective;
+  | Objective
+  | Operator;
 
 /** The kinds of objects in the order in which they are documented. */
 export const OBJECT_KINDS = [
@@ -112,6 +127,7 @@
   'backend_server',
   'limit',
   'objective',
+  'operator',
 ] as const;
 
 /** The kind of a declared object. */
--- a/core/set/publishedSet.ts
+++ b/core/set/publishedSet.ts
@@ -4,6 +4,7 @@
   BackendServer,
   Caller,
   Objective,
+  Operator,
   Pool,
   Route,
   Service,
@@ -25,6 +26,7 @@
   readonly backendServers: ReadonlyMap<string, BackendServer>;
   readonly limits: ReadonlyMap<string, TenantLimit>;
   readonly objectives: readonly Objective[];
+  readonly operatorsByToken: ReadonlyMap<string, Operator>;
 };
 
 function byName<T extends SetObject>(
@@ -53,5 +55,11 @@
     backendServers: byName<BackendServer>(objects, 'backend_server'),
     limits: byName<TenantLimit>(objects, 'limit'),
     objectives: [...byName<Objective>(objects, 'objective').values()],
+    operatorsByToken: new Map(
+      [...byName<Operator>(objects, 'operator').values()].map((operator) => [
+        operator.tokenSha256,
+        operator,
+      ]),
+    ),
   };
 }
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -128,6 +128,12 @@
     message: 'The host list does not answer; the last list stays',
     remedy: 'Restore the host list; no restart is needed',
   },
+  adminRefused: {
+    number: 'HS7001',
+    level: 'warn',
+    message: 'A request to the administration API was refused',
+    remedy: "Use an operator's token with the scope that the request needs",
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
 /** The name of a log event. */
--- a/programs/demo/_deployments.ts
+++ b/programs/demo/_deployments.ts
@@ -91,5 +91,10 @@
     `[backend_server ${serviceServer}]`,
     `service = ${tenant}/${service}`,
     '',
+    `[objective ${tenant}-answers]`,
+    `tenant = ${tenant}`,
+    'target = 0.95',
+    'first_token_ms = 1500',
+    '',
   ].join('\n');
 }
--- a/programs/demo/runDemo.ts
+++ b/programs/demo/runDemo.ts
@@ -1,6 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { request } from 'undici';
 import { z } from 'zod';
+import { readBurnSnapshots } from '../../admin/mod.ts';
+import { formatBurnReport, reportBurn } from '../../core/burn/mod.ts';
 import { EventSplitter } from '../../http/mod.ts';
 import { createLog } from '../../log/mod.ts';
 import { DEMO_TOKEN, DEMO_VERSIONS, DEPLOYMENTS } from './_deployments.ts';
@@ -87,6 +89,13 @@
   }
 }
 
+async function printBurn(running: RunningDeployment, print: Print): Promise<void> {
+  const urls = running.entries.map((entry) => `http://127.0.0.1:${entry.ports.admin}`);
+  const { snapshots } = await readBurnSnapshots(urls);
+  const lines = formatBurnReport(reportBurn(snapshots)).trimEnd().split('\n');
+  lines.forEach((line) => print(`  ${line}\n`));
+}
+
 async function showDeployment(deployment: Deployment, print: Print): Promise<void> {
   const log = createLog({ format: 'text', level: 'warn' });
   print(`\n${deployment.tenant}: starting on loopback\n`);
@@ -104,6 +113,7 @@
   }
   await book(urls[0]!, deployment, print);
   printStatus(running, print);
+  await printBurn(running, print);
   await running.stop();
 }
 
--- a/programs/startEntry.ts
+++ b/programs/startEntry.ts
@@ -1,6 +1,7 @@
 import { nanoid } from 'nanoid';
+import { createAdminHandler, entrySource, RecentEvents } from '../admin/mod.ts';
 import { createCallerHandler } from '../entry/mod.ts';
-import { listenHttp, respondJson } from '../http/mod.ts';
+import { listenHttp } from '../http/mod.ts';
 import type { Log } from '../log/mod.ts';
 import { createHttpConfiguration, createHttpHostList } from '../platform/mod.ts';
 import type { Settings } from '../settings/mod.ts';
@@ -32,9 +33,11 @@
  * @param options Checked settings, link keys and the log.
  */
 export async function startEntry(options: StartEntryOptions): Promise<Running<EntryStatus>> {
-  const { settings, linkKeys, log } = options;
+  const { settings, linkKeys } = options;
   const { host, availability_zone: availabilityZone } = settings.process;
   const clock = realClock;
+  const events = new RecentEvents(clock);
+  const log = events.follow(options.log);
   const identity = { role: 'entry', host, incarnation: nanoid() } as const;
   const task = new EntryTask({
     clock,
@@ -62,8 +65,9 @@
       timeoutMs: settings.limits.request_timeout,
     }),
   );
-  const admin = await listenHttp(settings.listen.admin, (_request, response) =>
-    respondJson(response, 200, task.status()),
+  const admin = await listenHttp(
+    settings.listen.admin,
+    createAdminHandler({ source: entrySource(task, events), clock, log }),
   );
   setTask.start();
   hostListTask.start();
--- a/programs/startSidecar.ts
+++ b/programs/startSidecar.ts
@@ -1,5 +1,7 @@
 import { nanoid } from 'nanoid';
-import { listenHttp, respondJson } from '../http/mod.ts';
+import { createAdminHandler, RecentEvents, sidecarSource } from '../admin/mod.ts';
+import type { PublishedSet } from '../core/set/mod.ts';
+import { listenHttp } from '../http/mod.ts';
 import type { Log } from '../log/mod.ts';
 import { createHttpConfiguration } from '../platform/mod.ts';
 import type { Settings } from '../settings/mod.ts';
@@ -29,9 +31,11 @@
  * @param options Checked settings, link keys and the log.
  */
 export async function startSidecar(options: StartSidecarOptions): Promise<Running<SidecarStatus>> {
-  const { settings, linkKeys, log } = options;
+  const { settings, linkKeys } = options;
   const { host } = settings.process;
   const clock = realClock;
+  const events = new RecentEvents(clock);
+  const log = events.follow(options.log);
   const identity = { role: 'sidecar', host, incarnation: nanoid() } as const;
   const task = new SidecarTask({
     clock,
@@ -43,12 +47,15 @@
     log,
   });
   const configuration = createHttpConfiguration(settings.platform.configuration);
-  const onSet = task.applySet.bind(task);
+  let setInForce: PublishedSet | undefined;
+  const onSet = (set: PublishedSet): void => {
+    setInForce = set;
+    task.applySet(set);
+  };
   const setTask = new SetTask({ clock, configuration, log, onSet });
   const links = await listenWebSocket(settings.listen.links, (peer) => task.accept(peer));
-  const admin = await listenHttp(settings.listen.admin, (_request, response) =>
-    respondJson(response, 200, task.status()),
-  );
+  const source = sidecarSource(task, events, () => setInForce);
+  const admin = await listenHttp(settings.listen.admin, createAdminHandler({ source, clock, log }));
   task.start();
   setTask.start();
   log('processStarted', { role: 'sidecar', incarnation: identity.incarnation });
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -47,6 +47,13 @@
   readonly links: readonly LinkStatus[];
 };
 
+/** What an entry knows, to be read only. */
+export type EntryInspection = {
+  readonly set: PublishedSet | undefined;
+  readonly membership: Membership;
+  readonly statuses: readonly LinkStatus[];
+};
+
 type Message =
   | { readonly kind: 'hosts'; readonly hosts: readonly ListedHost[] }
   | { readonly kind: 'set'; readonly set: PublishedSet }
@@ -136,6 +143,12 @@
     };
   }
 
+  /** Returns what this process knows of hosts and the set. */
+  inspect(): EntryInspection {
+    const statuses = [...this.#statuses.values()];
+    return { set: this.#set, membership: this.#membership, statuses };
+  }
+
   /** Returns what this process knows of service-level burn. */
   burn(): BurnSnapshot {
     return this.#burn.snapshot(this.#options.clock.now());
--- a/tasks/entry/mod.ts
+++ b/tasks/entry/mod.ts
@@ -1,6 +1,8 @@
 /** The entry's tasks: callers' requests and links to sidecars. @module */
 export { EntryTask } from './entryTask.ts';
-export type { EntryStatus, EntryTaskOptions } from './entryTask.ts';
+export type { EntryInspection, EntryStatus, EntryTaskOptions } from './entryTask.ts';
+export { explainPlacement } from './explainPlacement.ts';
+export type { ExplainedCandidate, PlacementExplanation } from './explainPlacement.ts';
 export type { LinkStatus } from './linkTask.ts';
 export type {
   CallerRequest,
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -1,3 +1,5 @@
+import { BurnRecorder, MetIncarnations } from '../../core/burn/mod.ts';
+import type { BurnSnapshot } from '../../core/burn/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { ExchangeName } from '../../core/identity/mod.ts';
 import { SidecarLinks } from '../../core/link/mod.ts';
@@ -83,6 +85,10 @@
 
   readonly #connections = new Map<ConnectionNumber, Connection>();
 
+  readonly #burn: BurnRecorder;
+
+  readonly #met = new MetIncarnations();
+
   readonly #serviceRunner: ServiceRunner | undefined;
 
   #engineRunner: EngineRunner | undefined;
@@ -97,7 +103,8 @@
 
   constructor(options: SidecarTaskOptions) {
     this.#options = options;
-    const { identity, linkKeys, nonce, heartbeatMs = 250 } = options;
+    const { clock, identity, linkKeys, nonce, heartbeatMs = 250 } = options;
+    this.#burn = new BurnRecorder({ identity, startedAt: clock.now() });
     this.#links = new SidecarLinks({
       identity,
       keys: linkKeys,
@@ -162,6 +169,12 @@
     };
   }
 
+  /** Returns which entries were met, so that a report can name those that are missing. */
+  burn(): BurnSnapshot {
+    const now = this.#now();
+    return this.#burn.snapshot(now, this.#met.list(now));
+  }
+
   readonly #handlers: Handlers<Message, void> = {
     accepted: ({ number, peer }) => {
       this.#connections.set(number, peer);
@@ -262,7 +275,7 @@
     },
     run: ({ exchange, call, deadline }) => this.#run(exchange, call, deadline),
     cancel: ({ exchange }) => this.#engineRunner?.cancel(exchange),
-    'peer-set': () => undefined,
+    'peer-set': ({ identity }) => this.#met.note(identity, this.#now()),
     refused: ({ detail }) => this.#options.log('linkRefused', { detail }),
   };
 
