--- a/admin/entrySource.ts
+++ b/admin/entrySource.ts
@@ -60,6 +60,13 @@
   }
 }
 
+function* limitRows({ limits }: EntryInspection, after: string): Iterable<Row> {
+  const byTenant = new Map(limits.map((use) => [use.tenant, use]));
+  for (const tenant of namesAfter(byTenant.keys(), after)) {
+    yield { key: tenant, ...byTenant.get(tenant)! };
+  }
+}
+
 /**
  * Describes an entry to the administration API.
  *
@@ -76,6 +83,7 @@
       hosts: (after) => hostRows(task.inspect(), after),
       links: (after) => linkRows(task.inspect(), after),
       residence: (after) => residenceRows(task.inspect(), after),
+      limits: (after) => limitRows(task.inspect(), after),
       events: (after) => events.after(after),
     },
   };
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,8 +1,11 @@
 import { Builtins, Cli } from 'clipanion';
+import { BenchCapacityCommand } from './benchCapacityCommand.ts';
+import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
 import { ExplainCommand } from './explainCommand.ts';
 import { ReportBurnCommand } from './reportBurnCommand.ts';
+import { ScenarioRunCommand } from './scenarioRunCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
 import { SetPackCommand } from './setPackCommand.ts';
 import { SettingsCheckCommand } from './settingsCheckCommand.ts';
@@ -19,10 +22,13 @@
 [
   Builtins.HelpCommand,
   Builtins.VersionCommand,
+  BenchCapacityCommand,
+  BenchPolicyCommand,
   DemoCommand,
   EntryCommand,
   ExplainCommand,
   ReportBurnCommand,
+  ScenarioRunCommand,
   SetCheckCommand,
   SetPackCommand,
   SettingsCheckCommand,
--- a/core/limits/demandRelay.ts
+++ b/core/limits/demandRelay.ts
@@ -36,10 +36,7 @@
 
   /** Notes what an entry says. */
   note(entry: string, demand: readonly TenantDemand[], now: Milliseconds): void {
-    if (demand.length === 0) {
-      this.#words.delete(entry);
-      return;
-    }
+    if (demand.length === 0) return;
     if (this.#words.size >= this.#options.mostEntries && !this.#words.has(entry)) return;
     this.#words.set(entry, { at: now, demand: demand.slice(0, this.#options.mostTenants) });
   }
--- a/core/link/entryLink.ts
+++ b/core/link/entryLink.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import type { ExchangeName, Incarnation } from '../identity/mod.ts';
+import type { DemandTotal, TenantDemand } from '../limits/mod.ts';
 import { notRun, unknown } from '../outcome/mod.ts';
 import type { Outcome } from '../outcome/mod.ts';
 import type {
@@ -49,6 +50,8 @@
   /** Returns a random nonce. */
   readonly nonce: () => string;
   readonly timing?: LinkTiming;
+  /** Returns the demand that the sidecar should relay to other entries. */
+  readonly demand?: () => readonly TenantDemand[];
 };
 
 /** Numbers the connections of one link; a higher epoch fences lower ones. */
@@ -127,7 +130,7 @@
 
   #lastHeard: Milliseconds = 0;
 
-  #lastSent: Milliseconds = 0;
+  #lastHeartbeat: Milliseconds = 0;
 
   #lostAt: Milliseconds | undefined;
 
@@ -141,6 +144,8 @@
 
   #report: LoadReport = NO_REPORT;
 
+  #demand: readonly DemandTotal[] = [];
+
   #peerSet: SetStamp = { generation: 0, digest: '' };
 
   #ownSet: SetStamp = { generation: 0, digest: '' };
@@ -166,6 +171,11 @@
     return this.#peerSet;
   }
 
+  /** The demand that the sidecar hears of all entries. */
+  get demand(): readonly DemandTotal[] {
+    return this.#demand;
+  }
+
   /** The incarnation of the sidecar behind the ready connection; empty before the first. */
   get incarnation(): Incarnation {
     return this.#readyIncarnation;
@@ -259,7 +269,6 @@
       sinceEchoMs: now - this.#echoAt,
       call,
     });
-    this.#lastSent = now;
     return this.#takeActions();
   }
 
@@ -337,10 +346,12 @@
   }
 
   #heartbeat(now: Milliseconds): void {
-    if (this.#ready === undefined || now - this.#lastSent < this.#timing.heartbeatMs) return;
-    this.#lastSent = now;
+    if (this.#ready === undefined || now - this.#lastHeartbeat < this.#timing.heartbeatMs) return;
+    this.#lastHeartbeat = now;
     for (const [exchange, state] of this.#exchanges) this.#acknowledge(exchange, state);
-    this.#send(this.#ready, { kind: 'heartbeat', set: this.#ownSet });
+    const demand = this.#options.demand?.() ?? [];
+    const carried = demand.length === 0 ? {} : { demand };
+    this.#send(this.#ready, { kind: 'heartbeat', set: this.#ownSet, ...carried });
   }
 
   #acknowledge(exchange: ExchangeName, state: Exchange): void {
@@ -401,6 +412,7 @@
     this.#echoAt = now;
     this.#report = frame.report;
     this.#peerSet = frame.set;
+    this.#demand = frame.demand ?? [];
   }
 
   #handleWelcome(
--- a/core/link/frames.ts
+++ b/core/link/frames.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import type { AdapterVersion, ExchangeName, Incarnation } from '../identity/mod.ts';
+import type { DemandTotal, TenantDemand } from '../limits/mod.ts';
 import type { Outcome } from '../outcome/mod.ts';
 
 /** The version of the link protocol that this code speaks. */
@@ -134,7 +135,12 @@
       readonly nextEvent: number;
     }
   | { readonly kind: 'cancel'; readonly exchange: ExchangeName }
-  | { readonly kind: 'heartbeat'; readonly set: SetStamp };
+  | {
+      readonly kind: 'heartbeat';
+      readonly set: SetStamp;
+      /** Demand of the tenants that the sidecar relays. */
+      readonly demand?: readonly TenantDemand[];
+    };
 
 /** Frames from a sidecar to an entry. */
 export type SidecarFrame =
@@ -152,6 +158,8 @@
       readonly stamp: Milliseconds;
       readonly set: SetStamp;
       readonly report: LoadReport;
+      /** Demand over all entries of the tenants that the sidecar relays. */
+      readonly demand?: readonly DemandTotal[];
     }
   | {
       readonly kind: 'event';
@@ -164,6 +172,8 @@
       readonly stamp: Milliseconds;
       readonly set: SetStamp;
       readonly report: LoadReport;
+      /** Demand over all entries of the tenants that the sidecar relays. */
+      readonly demand?: readonly DemandTotal[];
     }
   | { readonly kind: 'refused'; readonly reason: string };
 
--- a/core/link/sidecarLink.ts
+++ b/core/link/sidecarLink.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import type { ExchangeName } from '../identity/mod.ts';
+import type { DemandTotal, TenantDemand } from '../limits/mod.ts';
 import { deadlineFromBudget } from './deadline.ts';
 import type {
   Call,
@@ -20,7 +21,12 @@
 export type ConnectionNumber = number;
 
 /** What a sidecar tells its entries about itself. */
-export type SidecarStatus = { readonly set: SetStamp; readonly report: LoadReport };
+export type SidecarStatus = {
+  readonly set: SetStamp;
+  readonly report: LoadReport;
+  /** Demand over all entries of the tenants that the sidecar relays. */
+  readonly demand?: readonly DemandTotal[];
+};
 
 /** How to build the sidecar's end of its links. */
 export type SidecarLinksOptions = {
@@ -54,7 +60,13 @@
       readonly deadline: Milliseconds;
     }
   | { readonly kind: 'cancel'; readonly exchange: ExchangeName }
-  | { readonly kind: 'peer-set'; readonly identity: Identity; readonly set: SetStamp }
+  | {
+      readonly kind: 'peer-set';
+      readonly identity: Identity;
+      readonly set: SetStamp;
+      /** Demand that the entry sees. */
+      readonly demand: readonly TenantDemand[];
+    }
   | { readonly kind: 'refused'; readonly detail: string };
 
 type Hello = Extract<EntryFrame, { kind: 'hello' }>;
@@ -249,7 +261,12 @@
         this.#actions.push({ kind: 'cancel', exchange: frame.exchange });
         return;
       default:
-        this.#actions.push({ kind: 'peer-set', identity: link.identity, set: frame.set });
+        this.#actions.push({
+          kind: 'peer-set',
+          identity: link.identity,
+          set: frame.set,
+          demand: frame.demand ?? [],
+        });
     }
   }
 
@@ -331,7 +348,7 @@
     this.#send(connection, { kind: 'ready', unseen, stamp: now, ...this.#options.status() });
     this.#dropUnlisted(link, frame.resume);
     frame.resume.forEach((point) => this.#replay(connection, link, point));
-    this.#actions.push({ kind: 'peer-set', identity: hello.identity, set: frame.set });
+    this.#actions.push({ kind: 'peer-set', identity: hello.identity, set: frame.set, demand: [] });
   }
 
   /** Returns the state for an entry; a new incarnation of its host ends the earlier one's. */
--- a/programs/demo/_startDeployment.ts
+++ b/programs/demo/_startDeployment.ts
@@ -41,7 +41,7 @@
 
 function startStandinsOf(deployment: Deployment): Promise<RunningStandins> {
   return startStandins({
-    platform: { listen: ANY_PORT, set: '' },
+    platform: { listen: ANY_PORT, generation: DEMO_GENERATION },
     store: {
       loads_per_second: deployment.loadsPerSecond,
       loads_at_once: deployment.loadsAtOnce,
@@ -53,6 +53,7 @@
     },
     service: { listen: ANY_PORT },
     hosts: {},
+    log: { format: 'text', level: 'warn' },
   });
 }
 
@@ -81,7 +82,7 @@
     listen: { callers: ANY_PORT, admin: ANY_PORT },
     platform: common.platform,
     link: {},
-    limits: { request_timeout: 60_000, body_bytes: 1_048_576 },
+    limits: { request_timeout: 60_000, body_bytes: 1_048_576, unread_bytes: 262_144 },
     log: { format: 'text', level: 'warn' },
   };
   return startEntry({ settings, linkKeys: LINK_KEYS, log: common.log });
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -2,12 +2,12 @@
 import type { BurnSnapshot } from '../../core/burn/mod.ts';
 import type { Clock } from '../../core/clock/mod.ts';
 import type { ExchangeName } from '../../core/identity/mod.ts';
+import type { LimitUse } from '../../core/limits/mod.ts';
 import type { ExchangeEvent, Identity, LinkTiming } from '../../core/link/mod.ts';
 import { Membership } from '../../core/membership/mod.ts';
 import type { ListedHost, MembershipChange } from '../../core/membership/mod.ts';
 import { failed, isRetryable, notRun, unknown } from '../../core/outcome/mod.ts';
 import type { NotRun, Outcome } from '../../core/outcome/mod.ts';
-import { chooseBackendServer } from '../../core/placement/mod.ts';
 import type { PublishedSet } from '../../core/set/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { dispatch } from '../_handlers.ts';
@@ -18,6 +18,8 @@
 import type { OpenRequest, RequestFacts } from './_openRequest.ts';
 import { planCall } from './_planCall.ts';
 import { noteToken, requestSample } from './_requestSample.ts';
+import { chooseHost } from './_router.ts';
+import { TenantLimits } from './_tenantLimits.ts';
 import { LinkTask } from './linkTask.ts';
 import type { LinkNews, LinkStatus } from './linkTask.ts';
 import type { Submission, SubmissionEvent } from './request.ts';
@@ -52,6 +54,7 @@
   readonly set: PublishedSet | undefined;
   readonly membership: Membership;
   readonly statuses: readonly LinkStatus[];
+  readonly limits: readonly LimitUse[];
 };
 
 type Message =
@@ -83,6 +86,8 @@
 
   readonly #burn: BurnRecorder;
 
+  readonly #limits = new TenantLimits();
+
   #set: PublishedSet | undefined;
 
   #exchanges = 0;
@@ -146,7 +151,8 @@
   /** Returns what this process knows of hosts and the set. */
   inspect(): EntryInspection {
     const statuses = [...this.#statuses.values()];
-    return { set: this.#set, membership: this.#membership, statuses };
+    const limits = this.#limits.uses(this.#options.clock.now());
+    return { set: this.#set, membership: this.#membership, statuses, limits };
   }
 
   /** Returns what this process knows of service-level burn. */
@@ -170,8 +176,10 @@
   }
 
   readonly #handlers: Handlers<Message, void> = {
-    hosts: ({ hosts }) =>
-      this.#membership.applyList(hosts).forEach((change) => this.#applyChange(change)),
+    hosts: ({ hosts }) => {
+      this.#limits.applyHosts(hosts);
+      this.#membership.applyList(hosts).forEach((change) => this.#applyChange(change));
+    },
     set: ({ set }) => this.#takeSet(set),
     submit: ({ submission }) => this.#accept(submission),
     abandon: ({ name }) => this.#abandon(name),
@@ -188,6 +196,7 @@
     if (set.generation <= (this.#set?.generation ?? 0)) return;
     this.#set = set;
     this.#burn.applyObjectives(set.objectives);
+    this.#limits.applySet(set, this.#options.clock.now());
     const { generation, digest } = set;
     this.#links.forEach((link) => link.noteSet({ generation, digest }));
   }
@@ -209,6 +218,7 @@
       keys: linkKeys,
       target: member.host,
       address: member.address,
+      demand: () => this.#limits.demandFor(member.host, clock.now()),
       onNews: (news) => this.#mailbox.post(news),
       ...(linkTiming === undefined ? {} : { timing: linkTiming }),
     });
@@ -234,6 +244,7 @@
   #noteStatus(status: LinkStatus): void {
     if (!this.#links.has(status.host)) return;
     this.#statuses.set(status.host, status);
+    this.#limits.noteTotals(status.host, status.demand, this.#options.clock.now());
     if (status.report.leaving) {
       this.#membership.announceLeaving(status.host, status.incarnation);
     }
@@ -279,6 +290,8 @@
     const plan = planCall(set, caller.tenant, submission.request);
     if (plan.kind === 'not-run') return plan;
     const now = this.#options.clock.now();
+    const refusal = this.#limits.admit(caller.tenant, plan.call, now);
+    if (refusal !== undefined) return refusal;
     return {
       submission,
       tenant: caller.tenant,
@@ -307,33 +320,12 @@
   }
 
   #chooseHost(request: OpenRequest): string | undefined {
-    const { destination } = request;
-    const usable = [...this.#statuses.values()].filter(
-      (status) =>
-        status.health === 'ready' &&
-        !request.tried.has(status.host) &&
-        (destination.kind === 'host'
-          ? status.host === destination.host
-          : this.#membership.mayTakeWork(status.host, status.incarnation)),
-    );
-    if (destination.kind === 'host') return usable[0]?.host;
-    if (destination.kind === 'service') {
-      return usable.find((status) => this.#serves(status, 'service', destination.service))?.host;
-    }
-    const candidates = usable
-      .filter((status) => this.#serves(status, 'pool', destination.pool))
-      .map(({ host, report }) => ({
-        host,
-        running: report.running,
-        waiting: report.waiting,
-        batchWidth: report.batchWidth,
-        isResident: report.resident.includes(destination.adapterVersion),
-      }));
-    return chooseBackendServer(destination.adapterVersion, candidates)?.host;
-  }
-
-  #serves(status: LinkStatus, key: 'pool' | 'service', name: string): boolean {
-    return this.#set?.backendServers.get(status.report.backendServer)?.[key] === name;
+    const view = {
+      set: this.#set,
+      membership: this.#membership,
+      statuses: this.#statuses.values(),
+    };
+    return chooseHost(view, request);
   }
 
   #noteEvent(exchange: ExchangeName, event: ExchangeEvent): void {
@@ -409,6 +401,7 @@
     request.cancelDeadline();
     this.#byExchange.delete(request.exchange);
     this.#requests.delete(submission.name);
+    this.#limits.release(request.tenant, request.call);
     this.#recordBurn(request, outcome);
     const elapsedMs = Math.round(this.#options.clock.now() - request.startedAt);
     const reason = outcome.kind === 'done' ? undefined : outcome.reason;
--- a/tasks/entry/linkTask.ts
+++ b/tasks/entry/linkTask.ts
@@ -1,5 +1,6 @@
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { ExchangeName, Incarnation } from '../../core/identity/mod.ts';
+import type { DemandTotal } from '../../core/limits/mod.ts';
 import { DEFAULT_LINK_TIMING, EntryLink } from '../../core/link/mod.ts';
 import type {
   Call,
@@ -26,6 +27,8 @@
   readonly incarnation: Incarnation;
   readonly report: LoadReport;
   readonly peerSet: SetStamp;
+  /** Demand of tenants that the sidecar relays. */
+  readonly demand: readonly DemandTotal[];
 };
 
 /** What a `LinkTask` tells its owner. */
@@ -188,12 +191,12 @@
 
   /** Tells the owner the link's status when it differs from what was told last. */
   #tellStatus(): void {
-    const { health, incarnation, report, peerSet } = this.#link;
+    const { demand, health, incarnation, report, peerSet } = this.#link;
     const told = this.#toldStatus;
     const isSame =
       told.health === health && told.incarnation === incarnation && told.report === report;
     if (isSame) return;
-    const status = { host: this.#options.target, health, incarnation, report, peerSet };
+    const status = { host: this.#options.target, health, incarnation, report, peerSet, demand };
     this.#toldStatus = status;
     this.#options.onNews({ kind: 'link-status', status });
   }
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -2,6 +2,7 @@
 import type { BurnSnapshot } from '../../core/burn/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { ExchangeName } from '../../core/identity/mod.ts';
+import { DemandRelay } from '../../core/limits/mod.ts';
 import { SidecarLinks } from '../../core/link/mod.ts';
 import type {
   Call,
@@ -12,8 +13,10 @@
   LoadReport,
   SetStamp,
   SidecarLinksAction,
+  SidecarStatus as LinksStatus,
 } from '../../core/link/mod.ts';
 import { notRun } from '../../core/outcome/mod.ts';
+import { createStaticRate } from '../../core/residence/mod.ts';
 import type { PublishedSet } from '../../core/set/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { decodeEnvelope, encodeEnvelope } from '../_codec.ts';
@@ -87,6 +90,8 @@
 
   readonly #burn: BurnRecorder;
 
+  readonly #demand = new DemandRelay();
+
   readonly #met = new MetIncarnations();
 
   readonly #serviceRunner: ServiceRunner | undefined;
@@ -110,7 +115,7 @@
       keys: linkKeys,
       nonce,
       heartbeatMs,
-      status: () => ({ set: this.#set, report: this.#report() }),
+      status: () => this.#heartbeatStatus(),
     });
     this.#mailbox = new Mailbox<Message>({
       handle: (message) => {
@@ -218,6 +223,12 @@
     });
   }
 
+  #heartbeatStatus(): LinksStatus {
+    const status = { set: this.#set, report: this.#report() };
+    const demand = this.#demand.totals(this.#now());
+    return demand.length === 0 ? status : { ...status, demand };
+  }
+
   #report(): LoadReport {
     const leaving = this.#onEmpty !== undefined;
     const { backendServer } = this.#options;
@@ -255,7 +266,7 @@
       log,
       slots: pool.slots,
       loadsAtOnce: 1,
-      loadsPerSecond: pool.loadsPerSecond / servers.length,
+      loadRate: createStaticRate(pool.loadsPerSecond / servers.length),
       post: (message) => this.#mailbox.post(message),
       emit: (exchange, event) => this.#emit(exchange, event),
     });
@@ -275,7 +286,10 @@
     },
     run: ({ exchange, call, deadline }) => this.#run(exchange, call, deadline),
     cancel: ({ exchange }) => this.#engineRunner?.cancel(exchange),
-    'peer-set': ({ identity }) => this.#met.note(identity, this.#now()),
+    'peer-set': ({ identity, demand }) => {
+      this.#met.note(identity, this.#now());
+      this.#demand.note(identity.host, demand, this.#now());
+    },
     refused: ({ detail }) => this.#options.log('linkRefused', { detail }),
   };
 
