Measure ways of holding tenants' limits and hold them by demand

Ruled out: permits asked of one sidecar per request, which adds a round trip and stops the tenant when that sidecar is lost.

--- /dev/null
+++ b/cli/benchLimitsCommand.ts
@@ -0,0 +1,27 @@
+import { Command, Option } from 'clipanion';
+import { measureLimits } from '../bench/limits/mod.ts';
+
+/** `hyssopspread bench limits`. */
+export class BenchLimitsCommand extends Command {
+  static override paths = [['bench', 'limits']];
+
+  static override usage = Command.Usage({
+    description: "Measures ways of holding a tenant's limit across entries, on virtual time.",
+    examples: [['Print the figures', '$0 bench limits --json']],
+  });
+
+  readonly json = Option.Boolean('--json', false);
+
+  readonly seed = Option.String('--seed', '1');
+
+  async execute(): Promise<number> {
+    const figures = measureLimits(Number(this.seed));
+    const lines = figures.map((figure) => {
+      const { case: which, way, overshoot, used, unfairness } = figure;
+      return `${which}, ${way}: overshoot ${overshoot}, used ${used}, unfairness ${unfairness}`;
+    });
+    const text = this.json ? JSON.stringify(figures, null, 2) : lines.join('\n');
+    this.context.stdout.write(`${text}\n`);
+    return 0;
+  }
+}
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,5 +1,6 @@
 import { Builtins, Cli } from 'clipanion';
 import { BenchCapacityCommand } from './benchCapacityCommand.ts';
+import { BenchLimitsCommand } from './benchLimitsCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
@@ -23,6 +24,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   BenchCapacityCommand,
+  BenchLimitsCommand,
   BenchPolicyCommand,
   DemoCommand,
   EntryCommand,
--- a/core/limits/limitKeeper.ts
+++ b/core/limits/limitKeeper.ts
@@ -28,7 +28,12 @@
   readonly entriesHeard: number;
 };
 
-type Heard = { readonly at: Milliseconds; readonly total: DemandTotal };
+type Heard = {
+  readonly at: Milliseconds;
+  readonly total: DemandTotal;
+  /** This entry's part of the total. */
+  readonly own: number;
+};
 
 type State = {
   limit: TenantLimit;
@@ -37,13 +42,15 @@
   bucket: TokenBucket | undefined;
   inFlight: number;
   refused: number;
+  /** The demand that relays were told last. */
+  told: number;
 };
 
 const IN_FLIGHT_RETRY_MS: Milliseconds = 500;
 
 function openState(limit: TenantLimit, now: Milliseconds): State {
   const meter = new DemandMeter(now);
-  return { limit, meter, heard: new Map(), bucket: undefined, inFlight: 0, refused: 0 };
+  return { limit, meter, heard: new Map(), bucket: undefined, inFlight: 0, refused: 0, told: 0 };
 }
 
 /** Demand is capped by the limit, so that a flood at one entry does not starve the others. */
@@ -53,15 +60,12 @@
   return limit > 0 ? Math.min(demand, limit) : demand;
 }
 
-function freshest(
-  state: State,
-  now: Milliseconds,
-  staleAfterMs: Milliseconds,
-): DemandTotal | undefined {
-  let best: DemandTotal | undefined;
-  for (const [relay, { at, total }] of state.heard) {
-    if (now - at >= staleAfterMs) state.heard.delete(relay);
-    else if (best === undefined || total.entries > best.entries) best = total;
+/** Returns what the relay that hears the most entries said, unless all are silent. */
+function freshest(state: State, now: Milliseconds, staleAfterMs: Milliseconds): Heard | undefined {
+  let best: Heard | undefined;
+  for (const [relay, heard] of state.heard) {
+    if (now - heard.at >= staleAfterMs) state.heard.delete(relay);
+    else if (best === undefined || heard.total.entries > best.total.entries) best = heard;
   }
   return best;
 }
@@ -103,7 +107,8 @@
   /** Notes what a relay hears. */
   noteTotals(relay: string, totals: readonly DemandTotal[], now: Milliseconds): void {
     for (const total of totals) {
-      this.#states.get(total.tenant)?.heard.set(relay, { at: now, total });
+      const state = this.#states.get(total.tenant);
+      state?.heard.set(relay, { at: now, total, own: state.told });
     }
   }
 
@@ -113,6 +118,7 @@
       const state = this.#states.get(tenant);
       if (state === undefined) return [];
       const requestsPerSecond = demandOf(state, now);
+      state.told = requestsPerSecond;
       return [{ tenant, requestsPerSecond, requestsInFlight: state.inFlight }];
     });
   }
@@ -148,16 +154,16 @@
       demandPerSecond: state.meter.perSecond(now),
       inFlight: state.inFlight,
       refused: state.refused,
-      entriesHeard: freshest(state, now, this.#staleAfterMs)?.entries ?? 0,
+      entriesHeard: freshest(state, now, this.#staleAfterMs)?.total.entries ?? 0,
     }));
   }
 
   #share(state: State, now: Milliseconds): number {
-    const total = freshest(state, now, this.#staleAfterMs);
+    const heard = freshest(state, now, this.#staleAfterMs);
     return shareOfLimit({
       entries: this.#entries,
-      own: demandOf(state, now),
-      total: total && { entries: total.entries, sum: total.requestsPerSecond },
+      own: heard?.own ?? 0,
+      total: heard && { entries: heard.total.entries, sum: heard.total.requestsPerSecond },
     });
   }
 
--- a/core/limits/tokenBucket.ts
+++ b/core/limits/tokenBucket.ts
@@ -3,7 +3,7 @@
 const MILLISECONDS_IN_SECOND = 1000;
 
 /** Time for which unused permits are kept. */
-const BURST_MS: Milliseconds = 250;
+const BURST_MS: Milliseconds = 1000;
 
 /** Permits that come at a rate which may change; it starts empty but for its burst. */
 export class TokenBucket {
