Bind idempotency keys to tenants and check every frame's fields

Cause: any tenant of a shared service could look up, revoke or run a key that it had seen; frames were checked only for a sequence number and a kind; an entry could cancel another's exchange; revoked keys grew without bound; one call that never ended kept later keys from being forgotten; connections without proof were not bounded; a stranger could fill the log. Ruled out: a schema library for each frame (cost on each token) and naming the tenant in the key.

--- a/bench/capacity/_linkPair.ts
+++ b/bench/capacity/_linkPair.ts
@@ -98,7 +98,7 @@
       }
       if (action.kind === 'send') {
         const bytes = this.#count(encodeEnvelope(action.envelope));
-        const envelope = decodeEnvelope<EntryFrame>(bytes)!;
+        const envelope = decodeEnvelope<EntryFrame>(bytes, 'entry')!;
         this.#performSidecar(this.sidecar.received(CONNECTION, envelope, this.#now));
       }
     }
@@ -108,7 +108,7 @@
     for (const action of actions) {
       if (action.kind === 'send') {
         const bytes = this.#count(encodeEnvelope(action.envelope));
-        const envelope = decodeEnvelope<SidecarFrame>(bytes)!;
+        const envelope = decodeEnvelope<SidecarFrame>(bytes, 'sidecar')!;
         this.#performEntry(this.entry.received(1, envelope, this.#now));
       }
     }
--- a/bench/capacity/measureSlopes.ts
+++ b/bench/capacity/measureSlopes.ts
@@ -55,8 +55,8 @@
     },
   });
   for (let index = 0; index < count; index += 1) {
-    const minted = ledger.mint(0);
-    ledger.begin(minted, `digest-${index}`, 0);
+    const minted = ledger.mint('t', 0);
+    ledger.begin({ tenant: 't', key: minted }, `digest-${index}`, 0);
   }
   return ledger;
 }
@@ -84,7 +84,7 @@
           onEvent: () => undefined,
         },
         tenant: 'house-1',
-        call: { kind: 'mint-key', service: 's' },
+        call: { kind: 'mint-key', service: 's', tenant: 't' },
         destination: { kind: 'pool', pool: 'pool-1', adapterVersion: 'house-1/finding-aid-1@2' },
         generation: 1,
         startedAt: 0,
--- a/core/idempotency/key.ts
+++ b/core/idempotency/key.ts
@@ -18,8 +18,8 @@
 const FIELDS = 6;
 const MAX_KEY_LENGTH = 512;
 
-function sign(secret: string, body: string): string {
-  return createHmac('sha256', secret).update(body).digest('base64url');
+function sign(secret: string, tenant: string, body: string): string {
+  return createHmac('sha256', secret).update(`${tenant}\n${body}`).digest('base64url');
 }
 
 /**
@@ -27,11 +27,12 @@
  *
  * @param parts What the key says.
  * @param secret Known only to the incarnation that mints the key.
+ * @param tenant The only tenant that may use the key; the key does not show it.
  */
-export function formatKey(parts: KeyParts, secret: string): string {
+export function formatKey(parts: KeyParts, secret: string, tenant: string): string {
   const fields = [PREFIX, parts.host, parts.incarnation, parts.expiresAt, parts.nonce];
   const body = fields.join(SEPARATOR);
-  return `${body}${SEPARATOR}${sign(secret, body)}`;
+  return `${body}${SEPARATOR}${sign(secret, tenant, body)}`;
 }
 
 /**
@@ -56,8 +57,8 @@
   return { host, incarnation, expiresAt: Number(expiresAt), nonce };
 }
 
-/** Tells whether a key was signed with the secret. */
-export function isKeySigned(key: string, secret: string): boolean {
+/** Tells whether a key was signed with the secret for a tenant. */
+export function isKeySigned(key: string, secret: string, tenant: string): boolean {
   const end = key.lastIndexOf(SEPARATOR);
-  return proofsMatch(sign(secret, key.slice(0, end)), key.slice(end + 1));
+  return proofsMatch(sign(secret, tenant, key.slice(0, end)), key.slice(end + 1));
 }
--- a/core/idempotency/ledger.ts
+++ b/core/idempotency/ledger.ts
@@ -8,6 +8,9 @@
 /** How a keyed call ended, with the service's answer. */
 export type KeyedOutcome = { readonly outcome: Outcome; readonly body: string };
 
+/** A key and the tenant that uses it. */
+export type TenantKey = { readonly tenant: string; readonly key: string };
+
 /** What to do with a call that bears a key. */
 export type KeyVerdict =
   /** The call runs now; `settle` must follow. */
@@ -47,6 +50,11 @@
   body: '',
 };
 
+const NOT_REVOKED: KeyedOutcome = {
+  outcome: unknown('not-begun', 'too many keys are in use to revoke this one now; ask again'),
+  body: '',
+};
+
 const REVOKED: KeyedOutcome = {
   outcome: notRun('revoked', 'the key was revoked before its call began; get a new key'),
   body: '',
@@ -85,26 +93,27 @@
     return this.#entries.size;
   }
 
-  /** Mints a key. */
-  mint(now: Milliseconds): string {
+  /** Mints a key that only the given tenant may use. */
+  mint(tenant: string, now: Milliseconds): string {
     const { host, incarnation, lifetimeMs, nonce, secret } = this.#options;
     const expiresAt = Math.floor(now + lifetimeMs);
-    return formatKey({ host, incarnation, expiresAt, nonce: nonce() }, secret);
+    return formatKey({ host, incarnation, expiresAt, nonce: nonce() }, secret, tenant);
   }
 
   /**
    * Judges a call that bears a key; the answer `run` is given at most once for each key.
    *
+   * @param key The key, with the tenant that uses it.
    * @param mayBegin Whether a call that has not begun may begin; otherwise its key is revoked.
    */
-  begin(key: string, call: string, now: Milliseconds, mayBegin = true): KeyVerdict {
+  begin({ tenant, key }: TenantKey, call: string, now: Milliseconds, mayBegin = true): KeyVerdict {
     this.#expire(now);
-    const refusal = this.#refuse(key, now);
+    const refusal = this.#refuse(tenant, key, now);
     if (refusal !== undefined) return settled(refusal);
     const callDigest = createHash('sha256').update(call).digest('hex');
     const known = this.#entries.get(key);
     if (known !== undefined) return judgeKnown(known, callDigest);
-    if (!mayBegin) return { kind: 'settled', ...this.revoke(key, now) };
+    if (!mayBegin) return { kind: 'settled', ...this.revoke({ tenant, key }, now) };
     if (this.#entries.size >= this.#options.capacity) {
       return settled(notRun('overloaded', 'too many keys are in use; ask again', 1000));
     }
@@ -125,8 +134,8 @@
   }
 
   /** Returns how the call of a key ended, as far as this incarnation knows. */
-  lookup(key: string, now: Milliseconds): KeyedOutcome {
-    const refusal = this.#refuse(key, now);
+  lookup({ tenant, key }: TenantKey, now: Milliseconds): KeyedOutcome {
+    const refusal = this.#refuse(tenant, key, now);
     if (refusal !== undefined) return { outcome: refusal, body: '' };
     const entry = this.#entries.get(key);
     if (entry !== undefined) return entry.result;
@@ -134,11 +143,13 @@
   }
 
   /** Forbids the call of a key for ever, unless it has begun; returns how it ended. */
-  revoke(key: string, now: Milliseconds): KeyedOutcome {
-    const refusal = this.#refuse(key, now);
+  revoke({ tenant, key }: TenantKey, now: Milliseconds): KeyedOutcome {
+    this.#expire(now);
+    const refusal = this.#refuse(tenant, key, now);
     if (refusal !== undefined) return { outcome: refusal, body: '' };
     const entry = this.#entries.get(key);
     if (entry !== undefined) return entry.result;
+    if (this.#entries.size >= this.#options.capacity) return NOT_REVOKED;
     this.#remember(key, { callDigest: '', state: 'revoked', result: REVOKED });
     return REVOKED;
   }
@@ -148,7 +159,7 @@
     this.#entries.set(key, { ...entry, expiresAt });
   }
 
-  #refuse(key: string, now: Milliseconds): Outcome | undefined {
+  #refuse(tenant: string, key: string, now: Milliseconds): Outcome | undefined {
     const parts = parseKey(key);
     if (parts === undefined || parts.host !== this.#options.host) {
       return notRun(
@@ -159,8 +170,9 @@
     if (parts.incarnation !== this.#options.incarnation) {
       return unknown('restarted', 'the key is older than the last restart; check its effect');
     }
-    if (!isKeySigned(key, this.#options.secret)) {
-      return notRun('bad-request', "the key is forged; get one from the service's keys address");
+    if (!isKeySigned(key, this.#options.secret, tenant)) {
+      const remedy = "get one from the service's keys address";
+      return notRun('bad-request', `the key is forged or another tenant's; ${remedy}`);
     }
     if (parts.expiresAt <= now) {
       return unknown('key-expired', 'the key has expired; check its effect');
@@ -172,8 +184,7 @@
   #expire(now: Milliseconds): void {
     for (const [key, entry] of this.#entries) {
       if (entry.expiresAt > now) return;
-      if (entry.state === 'running') return;
-      this.#entries.delete(key);
+      if (entry.state !== 'running') this.#entries.delete(key);
     }
   }
 }
--- a/core/idempotency/mod.ts
+++ b/core/idempotency/mod.ts
@@ -2,4 +2,4 @@
 export { formatKey, isKeySigned, parseKey } from './key.ts';
 export type { KeyParts } from './key.ts';
 export { KeyLedger } from './ledger.ts';
-export type { KeyedOutcome, KeyLedgerOptions, KeyVerdict } from './ledger.ts';
+export type { KeyedOutcome, KeyLedgerOptions, KeyVerdict, TenantKey } from './ledger.ts';
--- a/core/link/entryLink.test.ts
+++ b/core/link/entryLink.test.ts
@@ -2,7 +2,7 @@
 import { LinkPair } from './_linkPair.ts';
 import type { Call, ExchangeEvent } from './frames.ts';
 
-const CALL: Call = { kind: 'mint-key', service: 't/s' };
+const CALL: Call = { kind: 'mint-key', service: 't/s', tenant: 't' };
 
 const LIMITS = { generation: 1, budgetMs: 10_000 } as const;
 
--- a/core/link/frames.ts
+++ b/core/link/frames.ts
@@ -28,7 +28,12 @@
 };
 
 /** Asks for a new idempotency key. */
-export type MintCall = { readonly kind: 'mint-key'; readonly service: string };
+export type MintCall = {
+  readonly kind: 'mint-key';
+  readonly service: string;
+  /** The only tenant that may use the key. */
+  readonly tenant: string;
+};
 
 /** Runs a plain service's call under an idempotency key. */
 export type ServiceCall = {
@@ -45,6 +50,7 @@
 export type LookupCall = {
   readonly kind: 'lookup-key';
   readonly service: string;
+  readonly tenant: string;
   readonly key: string;
 };
 
@@ -52,6 +58,7 @@
 export type RevokeCall = {
   readonly kind: 'revoke-key';
   readonly service: string;
+  readonly tenant: string;
   readonly key: string;
 };
 
--- a/core/link/sidecarLink.ts
+++ b/core/link/sidecarLink.ts
@@ -42,6 +42,8 @@
   readonly heartbeatMs?: Milliseconds;
   /** Time for a connection to prove itself. @default 800 */
   readonly openWithinMs?: Milliseconds;
+  /** Connections that may be open without proof. @default 256 */
+  readonly mostUnproved?: number;
   /**
    * Silence after which an entry's exchanges are abandoned.
    *
@@ -153,9 +155,9 @@
     return this.#owners.size;
   }
 
-  /** Tells that a connection was accepted. */
-  accepted(number: ConnectionNumber, now: Milliseconds): void {
-    this.#connections.set(number, {
+  /** Tells that a connection was accepted; it is refused when too many have not proved themselves. */
+  accepted(number: ConnectionNumber, now: Milliseconds): readonly SidecarLinksAction[] {
+    const connection = {
       number,
       acceptedAt: now,
       received: new SequenceCheck(),
@@ -163,7 +165,13 @@
       sent: 0,
       hello: undefined,
       link: undefined,
-    });
+    };
+    const unproved = [...this.#connections.values()].filter((each) => each.link === undefined);
+    this.#connections.set(number, connection);
+    if (unproved.length >= (this.#options.mostUnproved ?? 256)) {
+      this.#refuse(connection, 'too many connections have not proved themselves; dial again');
+    }
+    return this.#takeActions();
   }
 
   /** Tells that a connection is closed. */
@@ -298,6 +306,7 @@
         this.#handleAcknowledge(link, frame);
         return;
       case 'cancel':
+        if (!link.exchanges.has(frame.exchange)) return;
         this.#forget(link, frame.exchange);
         this.#actions.push({ kind: 'cancel', exchange: frame.exchange });
         return;
@@ -313,6 +322,10 @@
 
   #handleHello(connection: Connection, frame: Hello): void {
     const { identity, keys } = this.#options;
+    if (connection.hello !== undefined) {
+      this.#refuse(connection, 'hello came twice; open another connection');
+      return;
+    }
     if (frame.version !== LINK_VERSION) {
       const versions = `version ${frame.version}; this sidecar speaks ${LINK_VERSION}`;
       this.#refuse(connection, `the entry speaks link ${versions}`);
@@ -440,7 +453,7 @@
 
   #handleSubmit(link: EntryState, frame: Extract<EntryFrame, { kind: 'submit' }>): void {
     const { exchange, call, generation } = frame;
-    if (link.exchanges.has(exchange)) return;
+    if (this.#owners.has(exchange)) return;
     link.exchanges.set(exchange, { events: [], first: 0, ended: false });
     this.#owners.set(exchange, link);
     const deadline = deadlineFromBudget(frame);
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -140,6 +140,12 @@
     message: 'The host list does not answer; the last list stays',
     remedy: 'Restore the host list; no restart is needed',
   },
+  keyRefused: {
+    number: 'HS7002',
+    level: 'warn',
+    message: "An idempotency key was refused: it is forged, damaged or another tenant's",
+    remedy: 'Find the caller by the request; its service must be given keys of its own',
+  },
   adminRefused: {
     number: 'HS7001',
     level: 'warn',
--- a/tasks/_codec.ts
+++ b/tasks/_codec.ts
@@ -1,5 +1,6 @@
 import { Packr } from 'msgpackr';
-import type { Envelope, LinkFrame } from '../core/link/mod.ts';
+import type { Envelope, LinkFrame, Role } from '../core/link/mod.ts';
+import { FRAME_CHECKS } from './_frameChecks.ts';
 
 const packr = new Packr({ useRecords: false, variableMapSize: true });
 
@@ -9,17 +10,21 @@
 }
 
 /**
- * Reads a frame from MessagePack.
+ * Reads a frame from MessagePack and checks the fields of its kind.
  *
- * @returns The frame, or `undefined` when the bytes are not one.
+ * @param bytes What came.
+ * @param sender The end that sent it.
+ * @returns The frame, or `undefined` when the bytes are not one of that end's.
  */
-export function decodeEnvelope<F extends LinkFrame>(bytes: Uint8Array): Envelope<F> | undefined {
+export function decodeEnvelope<F extends LinkFrame>(
+  bytes: Uint8Array,
+  sender: Role,
+): Envelope<F> | undefined {
   try {
     const value = packr.unpack(bytes) as Partial<Envelope<F>> | null;
     if (typeof value !== 'object' || value === null) return undefined;
-    if (typeof value.sequence !== 'number' || typeof value.frame?.kind !== 'string') {
-      return undefined;
-    }
+    const isNumbered = Number.isSafeInteger(value.sequence) && value.sequence! >= 0;
+    if (!isNumbered || !FRAME_CHECKS[sender](value.frame)) return undefined;
     return value as Envelope<F>;
   } catch {
     return undefined;
--- a/tasks/entry/_planCall.ts
+++ b/tasks/entry/_planCall.ts
@@ -45,7 +45,7 @@
   if (request.kind === 'mint-key') {
     return {
       kind: 'plan',
-      call: request,
+      call: { ...request, tenant },
       destination: { kind: 'service', service: service.name },
     };
   }
@@ -54,7 +54,10 @@
     const address = `POST /v1/services/${service.name}/keys`;
     return notRun('bad-request', `the idempotency key is malformed; get one by ${address}`);
   }
-  const call = request.kind === 'service-call' ? { ...request, tenant, mayBegin: true } : request;
+  const call: Call =
+    request.kind === 'service-call'
+      ? { ...request, tenant, mayBegin: true }
+      : { ...request, tenant };
   return { kind: 'plan', call, destination: { kind: 'host', host: parts.host } };
 }
 
--- a/tasks/entry/linkTask.ts
+++ b/tasks/entry/linkTask.ts
@@ -156,7 +156,7 @@
   }
 
   #receive(epoch: Epoch, bytes: Uint8Array): readonly EntryLinkAction[] {
-    const envelope = decodeEnvelope<SidecarFrame>(bytes);
+    const envelope = decodeEnvelope<SidecarFrame>(bytes, 'sidecar');
     if (envelope !== undefined) return this.#link.received(epoch, envelope, this.#now());
     this.#options.log('linkDamaged', { peer: this.#options.target });
     this.#connections.get(epoch)?.close();
--- a/tasks/sidecar/serviceRunner.ts
+++ b/tasks/sidecar/serviceRunner.ts
@@ -11,6 +11,7 @@
   ServiceCall,
 } from '../../core/link/mod.ts';
 import { DONE, failed, notRun, unknown } from '../../core/outcome/mod.ts';
+import type { Log } from '../../log/mod.ts';
 import { dispatch } from '../_handlers.ts';
 import type { Handlers } from '../_handlers.ts';
 import type { PlainService, ServiceReply } from '../ports/mod.ts';
@@ -32,6 +33,7 @@
   readonly ledger: KeyLedgerOptions;
   /** Puts a message into the sidecar's mailbox. */
   readonly post: (message: ServiceMessage) => void;
+  readonly log: Log;
   readonly emit: (exchange: ExchangeName, event: ExchangeEvent) => void;
 };
 
@@ -97,17 +99,18 @@
   #handlers(exchange: ExchangeName): Handlers<KeyedCall, void> {
     const now = this.#options.clock.now();
     return {
-      'mint-key': () => this.#answer(exchange, { outcome: DONE, body: this.#ledger.mint(now) }),
+      'mint-key': ({ tenant }) =>
+        this.#answer(exchange, { outcome: DONE, body: this.#ledger.mint(tenant, now) }),
       'service-call': (call) => this.#call(exchange, call),
-      'lookup-key': ({ key }) => this.#answer(exchange, this.#ledger.lookup(key, now)),
-      'revoke-key': ({ key }) => this.#answer(exchange, this.#ledger.revoke(key, now)),
+      'lookup-key': (call) => this.#answer(exchange, this.#ledger.lookup(call, now)),
+      'revoke-key': (call) => this.#answer(exchange, this.#ledger.revoke(call, now)),
     };
   }
 
   #call(exchange: ExchangeName, call: ServiceCall): void {
     const { key, body } = call;
     const verdict = this.#ledger.begin(
-      key,
+      call,
       `${call.tenant} ${body}`,
       this.#options.clock.now(),
       call.mayBegin,
@@ -130,6 +133,9 @@
 
   #answer(exchange: ExchangeName, result: KeyedOutcome): void {
     const { outcome, body } = result;
+    if (outcome.kind === 'not-run' && outcome.reason === 'bad-request') {
+      this.#options.log('keyRefused', { exchange });
+    }
     this.#options.emit(exchange, { kind: 'final', outcome, tokens: 0, digest: '', body });
   }
 }
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -22,6 +22,7 @@
 import { decodeEnvelope, encodeEnvelope } from '../_codec.ts';
 import { dispatch } from '../_handlers.ts';
 import type { Handlers } from '../_handlers.ts';
+import { limitLogRate } from '../_limitLogRate.ts';
 import { Mailbox } from '../mailbox/mod.ts';
 import type { Connection, ConnectionEvents, Engine, PlainService } from '../ports/mod.ts';
 import { EngineRunner } from './engineRunner.ts';
@@ -92,6 +93,9 @@
 
   readonly #demand = new DemandRelay();
 
+  /** For events that a stranger can cause. */
+  readonly #guardedLog: Log;
+
   readonly #met = new MetIncarnations();
 
   readonly #serviceRunner: ServiceRunner | undefined;
@@ -110,6 +114,7 @@
 
   constructor(options: SidecarTaskOptions) {
     this.#options = options;
+    this.#guardedLog = limitLogRate(options.log, options.clock);
     const { clock, identity, linkKeys, nonce, heartbeatMs = 250 } = options;
     this.#burn = new BurnRecorder({ identity, startedAt: clock.now() });
     this.#links = new SidecarLinks({
@@ -185,7 +190,7 @@
   readonly #handlers: Handlers<Message, void> = {
     accepted: ({ number, peer }) => {
       this.#connections.set(number, peer);
-      this.#links.accepted(number, this.#now());
+      this.#perform(this.#links.accepted(number, this.#now()));
     },
     received: ({ number, bytes }) => this.#receive(number, bytes),
     closed: ({ number }) => {
@@ -219,6 +224,7 @@
     return new ServiceRunner({
       clock,
       service: backend.service,
+      log: this.#guardedLog,
       ledger: { host, incarnation, nonce, secret: `${nonce()}${nonce()}` },
       post: (message) => this.#mailbox.post(message),
       emit: (exchange, event) => this.#emit(exchange, event),
@@ -244,12 +250,12 @@
   }
 
   #receive(number: ConnectionNumber, bytes: Uint8Array): void {
-    const envelope = decodeEnvelope<EntryFrame>(bytes);
+    const envelope = decodeEnvelope<EntryFrame>(bytes, 'entry');
     if (envelope !== undefined) {
       this.#perform(this.#links.received(number, envelope, this.#now()));
       return;
     }
-    this.#options.log('linkDamaged', { connection: number });
+    this.#guardedLog('linkDamaged', { connection: number });
     this.#connections.get(number)?.close();
     this.#connections.delete(number);
     this.#links.closed(number);
@@ -292,7 +298,7 @@
       this.#met.note(identity, this.#now());
       this.#demand.note(identity.host, demand, this.#now());
     },
-    refused: ({ detail }) => this.#options.log('linkRefused', { detail }),
+    refused: ({ detail }) => this.#guardedLog('linkRefused', { detail }),
   };
 
   #perform(actions: readonly SidecarLinksAction[]): void {
