--- a/bench/capacity/measureSlopes.ts
+++ b/bench/capacity/measureSlopes.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto';
 import { KeyLedger } from '../../core/idempotency/mod.ts';
-import { chooseBackendServer } from '../../core/placement/mod.ts';
+import { RouteTable } from '../../core/placement/mod.ts';
 import {
   applyDifference,
   buildSet,
@@ -38,6 +38,7 @@
 
 const SECONDS = 60;
 
+
 const CHANGE_RUNS = 50;
 
 const CHUNK = { kind: 'chunk', text: ' legajo', tokens: 1 } as const;
@@ -265,18 +266,35 @@
   );
 }
 
+/** Servers of the pool in which routing is measured. */
+const ROUTED_SERVERS = 64;
+
+/** Creates a table of servers of which each holds one adapter version. */
+function createRouteTable(): RouteTable {
+  const routes = new RouteTable({ policy: 'load-stalls' });
+  for (let index = 0; index < ROUTED_SERVERS; index += 1) {
+    const host = `engine-${index}`;
+    routes.add(host, 1);
+    routes.note({
+      host,
+      running: index % 16,
+      waiting: 0,
+      batchWidth: 16,
+      resident: [`house-${index % 40}/finding-aid-${index}@2`],
+      wanted: [],
+      freeSlots: 1,
+      displacedUses: 0,
+    });
+  }
+  return routes;
+}
+
 function measureTimes(): readonly Slope[] {
   const set = indexSet(sampleSet(10_000), STAMP);
   const pair = new LinkPair(RESIDENT);
   const streams = new LinkPair(RESIDENT);
   streams.submit('stream');
-  const candidates = Array.from({ length: 64 }, (_, index) => ({
-    host: `engine-${index}`,
-    running: index % 16,
-    waiting: 0,
-    batchWidth: 16,
-    isResident: index % 7 === 0,
-  }));
+  const routes = createRouteTable();
   const submits = new LinkPair(RESIDENT);
   return [
     measureChangeTime(),
@@ -293,9 +311,9 @@
     measureProcessorTime(
       'time.candidate',
       'candidate in a routing decision',
-      (index) => chooseBackendServer(`house-${index % 40}/finding-aid-${index}@2`, candidates),
+      (index) => routes.choose(`house-${index % 40}/finding-aid-${index}@2`, () => true),
       [1000, 2000, 4000, 8000],
-      candidates.length,
+      ROUTED_SERVERS,
     ),
     measureProcessorTime('time.resolve', 'name resolved', (index) =>
       resolveModel(
--- a/bench/capacity/mod.ts
+++ b/bench/capacity/mod.ts
@@ -7,5 +7,6 @@
 export type { CapacityRecord } from './formatCapacityPage.ts';
 export { measureSlopes } from './measureSlopes.ts';
 export type { SlopeName } from './measureSlopes.ts';
+export { sampleSet } from './sampleSet.ts';
 export { BUDGET, misses, slopesOf, totalControl, workOut } from './workOut.ts';
 export type { CapacityRow, Slopes } from './workOut.ts';
--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,7 +1,11 @@
 import { Builtins, Cli } from 'clipanion';
 import { BenchCapacityCommand } from './benchCapacityCommand.ts';
 import { BenchLimitsCommand } from './benchLimitsCommand.ts';
+import { BenchDecideCommand } from './benchDecideCommand.ts';
+import { BenchPolicyCapacityCommand } from './benchPolicyCapacityCommand.ts';
+import { BenchPathCommand } from './benchPathCommand.ts';
 import { BenchPolicyCommand } from './benchPolicyCommand.ts';
+import { BenchSetCommand } from './benchSetCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
 import { ExplainCommand } from './explainCommand.ts';
@@ -9,6 +13,7 @@
 import { ScenarioRunCommand } from './scenarioRunCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
 import { SetPackCommand } from './setPackCommand.ts';
+import { SetShowCommand } from './setShowCommand.ts';
 import { SettingsCheckCommand } from './settingsCheckCommand.ts';
 import { SidecarCommand } from './sidecarCommand.ts';
 import { StandinsCommand } from './standinsCommand.ts';
@@ -26,7 +31,11 @@
   Builtins.VersionCommand,
   BenchCapacityCommand,
   BenchLimitsCommand,
+  BenchDecideCommand,
+  BenchPolicyCapacityCommand,
+  BenchPathCommand,
   BenchPolicyCommand,
+  BenchSetCommand,
   DemoCommand,
   EntryCommand,
   ExplainCommand,
@@ -34,6 +43,7 @@
   ScenarioRunCommand,
   SetCheckCommand,
   SetPackCommand,
+  SetShowCommand,
   SettingsCheckCommand,
   SidecarCommand,
   StandinsCommand,
--- a/core/link/entryLink.test.ts
+++ b/core/link/entryLink.test.ts
@@ -111,6 +111,17 @@
     });
   });
 
+  describe('frames of the set', () => {
+    it('reach the entry that told the sidecar of its set', () => {
+      const pair = startPair();
+      const frame = { kind: 'set-read', name: 'head' } as const;
+      const told = pair.sidecarActions.find(({ kind }) => kind === 'peer-set');
+      if (told?.kind !== 'peer-set') throw new Error('the entry did not tell of its set');
+      pair.performSidecar(pair.sidecar.sendSet(told.peer, frame));
+      expect(pair.entryActions.at(-1)).to.deep.equal({ kind: 'set-frame', frame });
+    });
+  });
+
   describe('restart of the sidecar', () => {
     it('ends calls sent to the earlier incarnation as unknown', () => {
       const pair = startPair();
--- a/core/link/sidecarLink.ts
+++ b/core/link/sidecarLink.ts
@@ -72,12 +72,14 @@
   | { readonly kind: 'cancel'; readonly exchange: ExchangeName }
   | {
       readonly kind: 'peer-set';
+      /** Names one incarnation of an entry. */
+      readonly peer: string;
       readonly identity: Identity;
       readonly set: SetStamp;
       /** Demand that the entry sees. */
       readonly demand: readonly TenantDemand[];
     }
-  | { readonly kind: 'set-frame'; readonly host: string; readonly frame: SetFrame }
+  | { readonly kind: 'set-frame'; readonly peer: string; readonly frame: SetFrame }
   | { readonly kind: 'refused'; readonly detail: string };
 
 type Hello = Extract<EntryFrame, { kind: 'hello' }>;
@@ -214,8 +216,8 @@
   }
 
   /** Sends a frame of the set, or drops it when the entry is not connected. */
-  sendSet(host: string, frame: SetFrame): readonly SidecarLinksAction[] {
-    const connection = this.#entries.get(host)?.connection;
+  sendSet(peer: string, frame: SetFrame): readonly SidecarLinksAction[] {
+    const connection = this.#entries.get(peer)?.connection;
     if (connection !== undefined) this.#send(connection, frame);
     return this.#takeActions();
   }
@@ -322,11 +324,12 @@
       case 'set-read':
       case 'set-value':
       case 'set-conflict':
-        this.#actions.push({ kind: 'set-frame', host: link.identity.host, frame });
+        this.#actions.push({ kind: 'set-frame', peer: entryName(link.identity), frame });
         return;
       default:
         this.#actions.push({
           kind: 'peer-set',
+          peer: entryName(link.identity),
           identity: link.identity,
           set: frame.set,
           demand: frame.demand ?? [],
@@ -417,7 +420,9 @@
     this.#dropUnlisted(link, frame.resume);
     frame.resume.forEach((point) => this.#replay(connection, link, point));
     if (known === undefined) this.#endForgotten(connection, frame.resume);
-    this.#actions.push({ kind: 'peer-set', identity: hello.identity, set: frame.set, demand: [] });
+    const { identity } = hello;
+    const peer = entryName(identity);
+    this.#actions.push({ kind: 'peer-set', peer, identity, set: frame.set, demand: [] });
   }
 
   #addEntry(identity: Identity, now: Milliseconds): EntryState {
--- a/core/residence/residence.ts
+++ b/core/residence/residence.ts
@@ -1,3 +1,4 @@
+import { expectedWait } from '../admission/mod.ts';
 import type { Milliseconds } from '../clock/mod.ts';
 import type { AdapterVersion } from '../identity/mod.ts';
 import { notRun } from '../outcome/mod.ts';
@@ -53,12 +54,16 @@
   readonly loadRate?: LoadRate;
   /** What is unloaded first. @default 'frequency' */
   readonly eviction?: 'recency' | 'frequency';
+  /** Which requests are refused when they come. @default 'late' */
+  readonly refuses?: 'late' | 'none';
   /** Time for which a loaded adapter version stays. @default 500 */
   readonly minResidenceMs?: Milliseconds;
   /** Failed loads after which waiting requests are refused. @default 2 */
   readonly loadAttempts?: number;
 };
 
+type Running = { readonly adapterVersion: AdapterVersion; readonly startedAt: Milliseconds };
+
 type Slot = {
   state: 'loading' | 'resident' | 'unloading';
   pins: number;
@@ -68,7 +73,10 @@
 
 const DEFAULT_LOADS_PER_SECOND = 4;
 
-const POPULARITY_HALF_LIFE_MS: Milliseconds = 20_000;
+/** Weight of the last request in the mean time that requests run. */
+const SERVICE_SHARE = 0.1;
+
+const POPULARITY_HALF_LIFE_MS: Milliseconds = 10000;
 
 /**
  * Decides which adapter versions one engine holds and which requests it starts.
@@ -84,7 +92,10 @@
 
   readonly #popularity = new Popularity(POPULARITY_HALF_LIFE_MS);
 
-  readonly #running = new Map<RequestName, AdapterVersion>();
+  readonly #running = new Map<RequestName, Running>();
+
+  /** Mean time that a request runs. */
+  #serviceMs: Milliseconds = 0;
 
   readonly #loadFailures = new Map<AdapterVersion, number>();
 
@@ -103,6 +114,7 @@
       loadRate: createStaticRate(DEFAULT_LOADS_PER_SECOND),
       loadAttempts: 2,
       eviction: 'frequency',
+      refuses: 'late',
       minResidenceMs: 500,
       ...options,
     };
@@ -134,6 +146,17 @@
     return Math.max(0, this.#options.slots - used);
   }
 
+  /** Recent uses of the adapter version that a load would displace; 0 when a slot is empty. */
+  displacedUses(now: Milliseconds): number {
+    if (this.#slots.size < this.#options.slots) return 0;
+    let least = Infinity;
+    for (const [name, slot] of this.#slots) {
+      const isFree = slot.state === 'resident' && slot.pins === 0 && !this.#queues.has(name);
+      if (isFree) least = Math.min(least, this.#popularity.of(name, now));
+    }
+    return least === Infinity ? 0 : least;
+  }
+
   /** Adapter versions that are being loaded or that requests wait for, at most `limit`. */
   wanted(limit: number): readonly AdapterVersion[] {
     const wanted = [...this.#loadStartedAt.keys()];
@@ -147,6 +170,13 @@
   /** Adds a request. */
   enqueue(request: ResidenceRequest, now: Milliseconds): readonly ResidenceAction[] {
     const wasResident = this.#slots.get(request.adapterVersion)?.state === 'resident';
+    const waitMs = this.#options.refuses === 'late' ? this.#waitOf(request.adapterVersion) : 0;
+    if (now + waitMs >= request.deadline) {
+      const detail = 'it could not start before its deadline; ask again later';
+      const outcome = notRun('overloaded', detail, Math.ceil(waitMs));
+      this.#actions.push({ kind: 'refuse', request: request.name, outcome });
+      return this.#plan(now);
+    }
     this.#popularity.note(request.adapterVersion, now);
     this.#queues.push({ ...request, since: now, wasResident, isGone: false });
     return this.#plan(now);
@@ -159,10 +189,11 @@
 
   /** Tells that a started request has ended at the engine. */
   finished(name: RequestName, now: Milliseconds): readonly ResidenceAction[] {
-    const adapterVersion = this.#running.get(name);
-    if (adapterVersion === undefined) return [];
+    const running = this.#running.get(name);
+    if (running === undefined) return [];
     this.#running.delete(name);
-    const slot = this.#slots.get(adapterVersion);
+    this.#noteService(now - running.startedAt);
+    const slot = this.#slots.get(running.adapterVersion);
     if (slot !== undefined) {
       slot.pins -= 1;
       slot.usedAt = now;
@@ -217,6 +248,24 @@
     return this.#plan(now);
   }
 
+  #noteService(time: Milliseconds): void {
+    const share = this.#serviceMs === 0 ? 1 : SERVICE_SHARE;
+    this.#serviceMs += (time - this.#serviceMs) * share;
+  }
+
+  /** Returns how long a request that comes now is expected to wait. */
+  #waitOf(adapterVersion: AdapterVersion): Milliseconds {
+    return expectedWait({
+      running: this.#running.size,
+      waiting: this.#queues.size,
+      batchWidth: this.#batchWidth,
+      serviceMs: this.#serviceMs,
+      isHeldOrWanted: this.#slots.has(adapterVersion) || this.#queues.has(adapterVersion),
+      loadsAhead: this.#queues.adapterVersionCount,
+      loadsPerSecond: this.#options.loadRate.perSecond(),
+    });
+  }
+
   #takeActions(): readonly ResidenceAction[] {
     const actions = this.#actions;
     this.#actions = [];
@@ -311,7 +360,7 @@
   #start(waiting: Waiting, slot: Slot, now: Milliseconds): void {
     slot.pins += 1;
     slot.usedAt = now;
-    this.#running.set(waiting.name, waiting.adapterVersion);
+    this.#running.set(waiting.name, { adapterVersion: waiting.adapterVersion, startedAt: now });
     const stalledUntil = Math.max(waiting.since, slot.residentAt);
     this.#actions.push({
       kind: 'start',
--- a/tasks/_frameChecks.ts
+++ b/tasks/_frameChecks.ts
@@ -66,6 +66,9 @@
   waiting: count,
   batchWidth: quantity,
   resident: list(name),
+  wanted: optional(list(name)),
+  freeSlots: optional(count),
+  displacedUses: optional(quantity),
   leaving: flag,
   backendServer: name,
 });
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -1,7 +1,8 @@
 import { BurnRecorder } from '../../core/burn/mod.ts';
 import type { BurnSnapshot } from '../../core/burn/mod.ts';
+import { RetryBudget } from '../../core/admission/mod.ts';
 import type { Clock } from '../../core/clock/mod.ts';
-import type { ExchangeName } from '../../core/identity/mod.ts';
+import type { AdapterVersion, ExchangeName } from '../../core/identity/mod.ts';
 import type { LimitUse } from '../../core/limits/mod.ts';
 import type { ExchangeEvent, Identity, LinkTiming, SetFrame } from '../../core/link/mod.ts';
 import { Membership } from '../../core/membership/mod.ts';
@@ -21,7 +22,7 @@
 import { LinkTable } from './_linkTable.ts';
 import { planCall } from './_planCall.ts';
 import { noteToken, requestSample } from './_requestSample.ts';
-import { chooseHost } from './_router.ts';
+import { Router } from './_router.ts';
 import { TenantLimits } from './_tenantLimits.ts';
 import { LinkTask } from './linkTask.ts';
 import type { LinkNews, LinkStatus } from './linkTask.ts';
@@ -58,6 +59,8 @@
   readonly membership: Membership;
   readonly statuses: readonly LinkStatus[];
   readonly limits: readonly LimitUse[];
+  /** Returns where a request for an adapter version would go now. */
+  readonly choose: (pool: string, adapterVersion: AdapterVersion) => string | undefined;
 };
 
 type Message =
@@ -90,6 +93,10 @@
 
   readonly #byExchange = new Map<ExchangeName, OpenRequest>();
 
+  readonly #router: Router;
+
+  readonly #retries = new RetryBudget();
+
   readonly #burn: BurnRecorder;
 
   readonly #limits = new TenantLimits();
@@ -107,6 +114,12 @@
   constructor(options: EntryTaskOptions) {
     this.#options = options;
     const { clock, identity } = options;
+    this.#router = new Router({
+      clock,
+      membership: this.#membership,
+      statuses: this.#statuses,
+      availabilityZone: options.availabilityZone,
+    });
     this.#burn = new BurnRecorder({ identity, startedAt: clock.now() });
     this.#mailbox = new Mailbox<Message>({
       handle: (message) => dispatch(this.#handlers, message),
@@ -171,12 +184,12 @@
   inspect(): EntryInspection {
     const statuses = [...this.#statuses.values()];
     const limits = this.#limits.uses(this.#options.clock.now());
-    return { set: this.#set, membership: this.#membership, statuses, limits };
-  }
-
-  /** Returns what this process knows of service-level burn. */
-  burn(): BurnSnapshot {
-    return this.#burn.snapshot(this.#options.clock.now());
+    const choose: EntryInspection['choose'] = (pool, adapterVersion) =>
+      this.#router.choose({
+        destination: { kind: 'pool', pool, adapterVersion },
+        tried: new Set(),
+      });
+    return { set: this.#set, membership: this.#membership, statuses, limits, choose };
   }
 
   /** The hosts that the platform lists. */
@@ -184,6 +197,11 @@
     return this.#membership.members;
   }
 
+  /** Returns what this process knows of service-level burn. */
+  burn(): BurnSnapshot {
+    return this.#burn.snapshot(this.#options.clock.now());
+  }
+
   /** Returns the names that a caller may use as `model`. */
   modelsOf(tokenSha256: string): readonly string[] {
     const set = this.#set;
@@ -213,13 +231,14 @@
       this.#checkEmpty();
     },
     'link-status': ({ status }) => this.#noteStatus(status),
-    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', host, frame }),
+    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', peer: host, frame }),
     'exchange-event': ({ exchange, event }) => this.#noteEvent(exchange, event),
   };
 
   #takeSet(set: PublishedSet): void {
     if (set.generation <= (this.#set?.generation ?? 0)) return;
     this.#set = set;
+    this.#router.noteSet(set);
     this.#burn.applyObjectives(set.objectives);
     this.#limits.applySet(set, this.#options.clock.now());
     const { generation, digest } = set;
@@ -262,7 +281,8 @@
   #closeLink(host: string): void {
     this.#links.retire(host, this.#isUsed);
     this.#statuses.delete(host);
-    this.#onSetNews?.({ kind: 'peer-gone', host });
+    this.#router.forget(host);
+    this.#onSetNews?.({ kind: 'peer-gone', peer: host });
   }
 
   readonly #isUsed = (link: LinkTask): boolean =>
@@ -272,9 +292,10 @@
     if (this.#links.get(status.host) === undefined) return;
     this.#statuses.set(status.host, status);
     this.#limits.noteTotals(status.host, status.demand, this.#options.clock.now());
-    const { host, health, peerSet: set } = status;
+    this.#router.noteStatus(status);
+    const { host: peer, health, peerSet: set } = status;
     this.#onSetNews?.(
-      health === 'ready' ? { kind: 'peer-set', host, set } : { kind: 'peer-gone', host },
+      health === 'ready' ? { kind: 'peer-set', peer, set } : { kind: 'peer-gone', peer },
     );
     if (status.report.leaving) {
       this.#membership.announceLeaving(status.host, status.incarnation);
@@ -288,6 +309,7 @@
       this.#answerRefusal(submission, facts);
       return;
     }
+    this.#retries.noteRequest();
     const request = openRequest(facts);
     this.#requests.set(submission.name, request);
     request.cancelDeadline = clock.schedule(submission.timeoutMs, () =>
@@ -333,7 +355,7 @@
   }
 
   #send(request: OpenRequest): void {
-    const host = this.#chooseHost(request);
+    const host = this.#router.choose(request);
     const link = host === undefined ? undefined : this.#links.get(host);
     if (host === undefined || link === undefined) {
       const detail = 'no backend server for this request can be reached; ask again';
@@ -345,20 +367,12 @@
     request.host = host;
     request.link = link;
     this.#byExchange.set(request.exchange, request);
+    this.#router.sent(request);
     const { generation, deadline } = request;
     const call = callFor(request, this.#mayTakeWork(host));
     link.submit(request.exchange, call, { generation, deadline });
   }
 
-  #chooseHost(request: OpenRequest): string | undefined {
-    const view = {
-      set: this.#set,
-      membership: this.#membership,
-      statuses: this.#statuses.values(),
-    };
-    return chooseHost(view, request);
-  }
-
   #mayTakeWork(host: string): boolean {
     const incarnation = this.#statuses.get(host)?.incarnation ?? '';
     return this.#membership.mayTakeWork(host, incarnation);
@@ -399,10 +413,10 @@
   #noteFinal(request: OpenRequest, event: Extract<ExchangeEvent, { kind: 'final' }>): void {
     const outcome = checkWhole(request, event);
     this.#byExchange.delete(request.exchange);
+    this.#router.ended(request.exchange);
     request.tried.add(request.host);
-    const { attempts = 3 } = this.#options;
-    const again = isRetryable(outcome) && !request.started && request.tried.size < attempts;
-    if (again && request.destination.kind !== 'host' && this.#chooseHost(request) !== undefined) {
+    this.#router.noteOutcome(request.host, outcome);
+    if (this.#mayRetry(request, outcome)) {
       const { submission, exchange, host } = request;
       this.#options.log('requestRetried', { request: submission.name, exchange, peer: host });
       this.#send(request);
@@ -411,6 +425,18 @@
     this.#finish(request, outcome, event);
   }
 
+  #mayRetry(request: OpenRequest, outcome: Outcome): boolean {
+    const { attempts = 3 } = this.#options;
+    return (
+      isRetryable(outcome) &&
+      !request.started &&
+      request.tried.size < attempts &&
+      request.destination.kind !== 'host' &&
+      this.#router.choose(request) !== undefined &&
+      this.#retries.tryRetry()
+    );
+  }
+
   #abandon(name: string): void {
     const request = this.#requests.get(name);
     if (request === undefined) return;
@@ -438,6 +464,7 @@
     const outcome = keyedOutcome(submission.request, ending);
     request.cancelDeadline();
     this.#byExchange.delete(request.exchange);
+    this.#router.ended(request.exchange);
     this.#requests.delete(submission.name);
     this.#limits.release(request.tenant, request.call);
     if (request.link !== undefined) this.#links.release(request.link, this.#isUsed);
--- a/tasks/entry/explainPlacement.ts
+++ b/tasks/entry/explainPlacement.ts
@@ -1,5 +1,5 @@
 import type { AdapterVersion } from '../../core/identity/mod.ts';
-import { chooseBackendServer, rendezvousOrder } from '../../core/placement/mod.ts';
+import { rendezvousOrder } from '../../core/placement/mod.ts';
 import { resolveModel } from '../../core/set/mod.ts';
 import type { PublishedSet } from '../../core/set/mod.ts';
 import type { NotRun } from '../../core/outcome/mod.ts';
@@ -22,6 +22,12 @@
     /** Requests over batch width. */
     readonly load: number;
     readonly isResident: boolean;
+    readonly isWanted: boolean;
+    /** Adapter versions that load or wait for a load. */
+    readonly wanted: number;
+    readonly freeSlots: number;
+    /** Recent uses of the adapter version that a load would displace. */
+    readonly displacedUses: number;
   };
 };
 
@@ -62,9 +68,12 @@
     waiting: report.waiting,
     batchWidth: report.batchWidth,
     isResident: report.resident.includes(adapterVersion),
+    isWanted: report.wanted?.includes(adapterVersion) ?? false,
+    wanted: report.wanted?.length ?? 0,
+    freeSlots: report.freeSlots ?? 0,
+    displacedUses: report.displacedUses ?? 0,
   }));
-  const usable = described.filter((each) => each.takesWork);
-  const chosen = chooseBackendServer(adapterVersion, usable)?.host;
+  const chosen = inspection.choose(pool, adapterVersion);
   const order = rendezvousOrder(
     adapterVersion,
     described.map((each) => each.host),
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -17,7 +17,7 @@
   SidecarStatus as LinksStatus,
 } from '../../core/link/mod.ts';
 import { notRun } from '../../core/outcome/mod.ts';
-import { createStaticRate } from '../../core/residence/mod.ts';
+import { createAdaptiveRate } from '../../core/residence/mod.ts';
 import type { PublishedSet } from '../../core/set/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { decodeEnvelope, encodeEnvelope } from '../_codec.ts';
@@ -71,7 +71,7 @@
     }
   | { readonly kind: 'closed'; readonly number: ConnectionNumber }
   | { readonly kind: 'set'; readonly set: PublishedSet }
-  | { readonly kind: 'send-set'; readonly host: string; readonly frame: SetFrame }
+  | { readonly kind: 'send-set'; readonly peer: string; readonly frame: SetFrame }
   | { readonly kind: 'tick' }
   | { readonly kind: 'leave'; readonly onEmpty: () => void }
   | EngineMessage
@@ -113,10 +113,10 @@
 
   #onEmpty: (() => void) | undefined;
 
-  #toldEmpty = false;
-
   #onSetNews: ((news: SetNews) => void) | undefined;
 
+  #toldEmpty = false;
+
   constructor(options: SidecarTaskOptions) {
     this.#options = options;
     this.#guardedLog = limitLogRate(options.log, options.clock);
@@ -176,8 +176,8 @@
   }
 
   /** Sends a frame of the set to an entry. */
-  sendSet(host: string, frame: SetFrame): void {
-    this.#mailbox.post({ kind: 'send-set', host, frame });
+  sendSet(peer: string, frame: SetFrame): void {
+    this.#mailbox.post({ kind: 'send-set', peer, frame });
   }
 
   /** Refuses new work and calls `onEmpty` once all work has ended and entries know it. */
@@ -213,7 +213,7 @@
       this.#links.closed(number);
     },
     set: ({ set }) => this.#takeSet(set),
-    'send-set': ({ host, frame }) => this.#perform(this.#links.sendSet(host, frame)),
+    'send-set': ({ peer, frame }) => this.#perform(this.#links.sendSet(peer, frame)),
     tick: () => {
       this.#engineRunner?.tick();
       this.#perform(this.#links.tick(this.#now()));
@@ -290,7 +290,10 @@
       log,
       slots: pool.slots,
       loadsAtOnce: 1,
-      loadRate: createStaticRate(pool.loadsPerSecond / servers.length),
+      loadRate: createAdaptiveRate({
+        floorPerSecond: pool.loadsPerSecond / servers.length,
+        ceilingPerSecond: pool.loadsPerSecond,
+      }),
       post: (message) => this.#mailbox.post(message),
       emit: (exchange, event) => this.#emit(exchange, event),
     });
@@ -310,12 +313,12 @@
     },
     run: ({ exchange, call, deadline }) => this.#run(exchange, call, deadline),
     cancel: ({ exchange }) => this.#engineRunner?.cancel(exchange),
-    'peer-set': ({ identity, set, demand }) => {
+    'peer-set': ({ peer, identity, set, demand }) => {
       this.#met.note(identity, this.#now());
       this.#demand.note(identity.host, demand, this.#now());
-      this.#onSetNews?.({ kind: 'peer-set', host: identity.host, set });
+      this.#onSetNews?.({ kind: 'peer-set', peer, set });
     },
-    'set-frame': ({ host, frame }) => this.#onSetNews?.({ kind: 'peer-frame', host, frame }),
+    'set-frame': ({ peer, frame }) => this.#onSetNews?.({ kind: 'peer-frame', peer, frame }),
     refused: ({ detail }) => this.#guardedLog('linkRefused', { detail }),
   };
 
