--- a/cli/main.ts
+++ b/cli/main.ts
@@ -1,5 +1,6 @@
 import { Builtins, Cli } from 'clipanion';
 import { BenchCapacityCommand } from './benchCapacityCommand.ts';
+import { BenchLimitsCommand } from './benchLimitsCommand.ts';
 import { BenchDecideCommand } from './benchDecideCommand.ts';
 import { BenchPolicyCapacityCommand } from './benchPolicyCapacityCommand.ts';
 import { BenchPathCommand } from './benchPathCommand.ts';
@@ -8,6 +9,8 @@
 import { BenchRecoveryCommand } from './benchRecoveryCommand.ts';
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
+import { ExplainCommand } from './explainCommand.ts';
+import { ReportBurnCommand } from './reportBurnCommand.ts';
 import { ScenarioRunCommand } from './scenarioRunCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
 import { SetPackCommand } from './setPackCommand.ts';
@@ -28,6 +31,7 @@
   Builtins.HelpCommand,
   Builtins.VersionCommand,
   BenchCapacityCommand,
+  BenchLimitsCommand,
   BenchDecideCommand,
   BenchPolicyCapacityCommand,
   BenchPathCommand,
@@ -36,6 +40,8 @@
   BenchRecoveryCommand,
   DemoCommand,
   EntryCommand,
+  ExplainCommand,
+  ReportBurnCommand,
   ScenarioRunCommand,
   SetCheckCommand,
   SetPackCommand,
--- a/core/link/frames.ts
+++ b/core/link/frames.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import type { AdapterVersion, ExchangeName, Incarnation } from '../identity/mod.ts';
+import type { DemandTotal, TenantDemand } from '../limits/mod.ts';
 import type { Outcome } from '../outcome/mod.ts';
 
 /** The version of the link protocol that this code speaks. */
@@ -27,7 +28,12 @@
 };
 
 /** Asks for a new idempotency key. */
-export type MintCall = { readonly kind: 'mint-key'; readonly service: string };
+export type MintCall = {
+  readonly kind: 'mint-key';
+  readonly service: string;
+  /** The only tenant that may use the key. */
+  readonly tenant: string;
+};
 
 /** Runs a plain service's call under an idempotency key. */
 export type ServiceCall = {
@@ -44,6 +50,7 @@
 export type LookupCall = {
   readonly kind: 'lookup-key';
   readonly service: string;
+  readonly tenant: string;
   readonly key: string;
 };
 
@@ -51,6 +58,7 @@
 export type RevokeCall = {
   readonly kind: 'revoke-key';
   readonly service: string;
+  readonly tenant: string;
   readonly key: string;
 };
 
@@ -155,7 +163,12 @@
       readonly nextEvent: number;
     }
   | { readonly kind: 'cancel'; readonly exchange: ExchangeName }
-  | { readonly kind: 'heartbeat'; readonly set: SetStamp };
+  | {
+      readonly kind: 'heartbeat';
+      readonly set: SetStamp;
+      /** Demand of the tenants that the sidecar relays. */
+      readonly demand?: readonly TenantDemand[];
+    };
 
 /** Frames from a sidecar to an entry. */
 export type SidecarFrame =
@@ -174,6 +187,8 @@
       readonly stamp: Milliseconds;
       readonly set: SetStamp;
       readonly report: LoadReport;
+      /** Demand over all entries of the tenants that the sidecar relays. */
+      readonly demand?: readonly DemandTotal[];
     }
   | {
       readonly kind: 'event';
@@ -186,6 +201,8 @@
       readonly stamp: Milliseconds;
       readonly set: SetStamp;
       readonly report: LoadReport;
+      /** Demand over all entries of the tenants that the sidecar relays. */
+      readonly demand?: readonly DemandTotal[];
     }
   | { readonly kind: 'refused'; readonly reason: string };
 
--- a/core/link/sidecarLink.ts
+++ b/core/link/sidecarLink.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import type { ExchangeName } from '../identity/mod.ts';
+import type { DemandTotal, TenantDemand } from '../limits/mod.ts';
 import { unknown } from '../outcome/mod.ts';
 import { deadlineFromBudget } from './deadline.ts';
 import type {
@@ -22,7 +23,12 @@
 export type ConnectionNumber = number;
 
 /** What a sidecar tells its entries about itself. */
-export type SidecarStatus = { readonly set: SetStamp; readonly report: LoadReport };
+export type SidecarStatus = {
+  readonly set: SetStamp;
+  readonly report: LoadReport;
+  /** Demand over all entries of the tenants that the sidecar relays. */
+  readonly demand?: readonly DemandTotal[];
+};
 
 /** How to build the sidecar's end of its links. */
 export type SidecarLinksOptions = {
@@ -37,6 +43,8 @@
   readonly heartbeatMs?: Milliseconds;
   /** Time for a connection to prove itself. @default 800 */
   readonly openWithinMs?: Milliseconds;
+  /** Connections that may be open without proof. @default 256 */
+  readonly mostUnproved?: number;
   /**
    * Silence after which an entry's exchanges are abandoned.
    *
@@ -62,8 +70,15 @@
       readonly deadline: Milliseconds;
     }
   | { readonly kind: 'cancel'; readonly exchange: ExchangeName }
-  /** `peer` names one incarnation of an entry. */
-  | { readonly kind: 'peer-set'; readonly peer: string; readonly set: SetStamp }
+  | {
+      readonly kind: 'peer-set';
+      /** Names one incarnation of an entry. */
+      readonly peer: string;
+      readonly identity: Identity;
+      readonly set: SetStamp;
+      /** Demand that the entry sees. */
+      readonly demand: readonly TenantDemand[];
+    }
   | { readonly kind: 'set-frame'; readonly peer: string; readonly frame: SetFrame }
   | { readonly kind: 'refused'; readonly detail: string };
 
@@ -144,9 +159,9 @@
     return this.#owners.size;
   }
 
-  /** Tells that a connection was accepted. */
-  accepted(number: ConnectionNumber, now: Milliseconds): void {
-    this.#connections.set(number, {
+  /** Tells that a connection was accepted; it is refused when too many have not proved themselves. */
+  accepted(number: ConnectionNumber, now: Milliseconds): readonly SidecarLinksAction[] {
+    const connection = {
       number,
       acceptedAt: now,
       received: new SequenceCheck(),
@@ -154,7 +169,13 @@
       sent: 0,
       hello: undefined,
       link: undefined,
-    });
+    };
+    const unproved = [...this.#connections.values()].filter((each) => each.link === undefined);
+    this.#connections.set(number, connection);
+    if (unproved.length >= (this.#options.mostUnproved ?? 256)) {
+      this.#refuse(connection, 'too many connections have not proved themselves; dial again');
+    }
+    return this.#takeActions();
   }
 
   /** Tells that a connection is closed. */
@@ -296,6 +317,7 @@
         this.#handleAcknowledge(link, frame);
         return;
       case 'cancel':
+        if (!link.exchanges.has(frame.exchange)) return;
         this.#forget(link, frame.exchange);
         this.#actions.push({ kind: 'cancel', exchange: frame.exchange });
         return;
@@ -305,12 +327,22 @@
         this.#actions.push({ kind: 'set-frame', peer: entryName(link.identity), frame });
         return;
       default:
-        this.#actions.push({ kind: 'peer-set', peer: entryName(link.identity), set: frame.set });
+        this.#actions.push({
+          kind: 'peer-set',
+          peer: entryName(link.identity),
+          identity: link.identity,
+          set: frame.set,
+          demand: frame.demand ?? [],
+        });
     }
   }
 
   #handleHello(connection: Connection, frame: Hello): void {
     const { identity, keys } = this.#options;
+    if (connection.hello !== undefined) {
+      this.#refuse(connection, 'hello came twice; open another connection');
+      return;
+    }
     if (frame.version !== LINK_VERSION) {
       const versions = `version ${frame.version}; this sidecar speaks ${LINK_VERSION}`;
       this.#refuse(connection, `the entry speaks link ${versions}`);
@@ -388,7 +420,9 @@
     this.#dropUnlisted(link, frame.resume);
     frame.resume.forEach((point) => this.#replay(connection, link, point));
     if (known === undefined) this.#endForgotten(connection, frame.resume);
-    this.#actions.push({ kind: 'peer-set', peer: entryName(hello.identity), set: frame.set });
+    const { identity } = hello;
+    const peer = entryName(identity);
+    this.#actions.push({ kind: 'peer-set', peer, identity, set: frame.set, demand: [] });
   }
 
   #addEntry(identity: Identity, now: Milliseconds): EntryState {
@@ -438,7 +472,7 @@
 
   #handleSubmit(link: EntryState, frame: Extract<EntryFrame, { kind: 'submit' }>): void {
     const { exchange, call, generation } = frame;
-    if (link.exchanges.has(exchange)) return;
+    if (this.#owners.has(exchange)) return;
     link.exchanges.set(exchange, { events: [], first: 0, ended: false });
     this.#owners.set(exchange, link);
     const deadline = deadlineFromBudget(frame);
--- a/core/set/holding.ts
+++ b/core/set/holding.ts
@@ -13,12 +13,13 @@
 /** The kinds of objects whose parts a process holds. */
 export type Scope = ReadonlySet<ObjectKind>;
 
-/** What a sidecar needs: neither adapters nor callers. */
+/** What a sidecar needs: neither adapters nor callers, but the operators who may read it. */
 export const SIDECAR_SCOPE: Scope = new Set([
   'pool',
   'backend_server',
   'service',
   'limit',
+  'operator',
 ] as const);
 
 /** Returns the digests of the parts that a scope wants and that are not held. */
--- a/core/set/mod.ts
+++ b/core/set/mod.ts
@@ -14,7 +14,7 @@
 export type { Holding, Scope } from './holding.ts';
 export { formatManifest, manifestDigest, parseManifest } from './manifest.ts';
 export type { Manifest, Part } from './manifest.ts';
-export { OBJECT_KINDS } from './objects.ts';
+export { OBJECT_KINDS, OPERATOR_SCOPES } from './objects.ts';
 export type * from './objects.ts';
 export { PackedTable } from './packedTable.ts';
 export {
--- a/core/set/publishedSet.ts
+++ b/core/set/publishedSet.ts
@@ -7,6 +7,7 @@
   Caller,
   Objective,
   ObjectKind,
+  Operator,
   Pool,
   Route,
   Service,
@@ -39,6 +40,7 @@
   readonly backendServers: ReadonlyMap<string, BackendServer>;
   readonly limits: ReadonlyMap<string, TenantLimit>;
   readonly objectives: readonly Objective[];
+  readonly operatorsByToken: ReadonlyMap<string, Operator>;
 };
 
 /** A set with the holding from which it was built. */
@@ -94,6 +96,10 @@
     objectives: table('objective', old?.objectives, () =>
       objectsOf<Objective>(holding, 'objective'),
     ),
+    operatorsByToken: table('operator', old?.operatorsByToken, () => {
+      const operators = objectsOf<Operator>(holding, 'operator');
+      return new Map(operators.map((operator) => [operator.tokenSha256, operator]));
+    }),
   };
 }
 
--- a/programs/startSidecar.ts
+++ b/programs/startSidecar.ts
@@ -1,6 +1,8 @@
 import { nanoid } from 'nanoid';
-import { listenHttp, respondJson } from '../http/mod.ts';
+import { createAdminHandler, RecentEvents, sidecarSource } from '../admin/mod.ts';
 import { SIDECAR_SCOPE } from '../core/set/mod.ts';
+import type { PublishedSet } from '../core/set/mod.ts';
+import { listenHttp } from '../http/mod.ts';
 import type { Log } from '../log/mod.ts';
 import { createHttpConfiguration } from '../platform/mod.ts';
 import type { Settings } from '../settings/mod.ts';
@@ -33,9 +35,11 @@
  * @param options Checked settings, link keys and the log.
  */
 export async function startSidecar(options: StartSidecarOptions): Promise<Running<SidecarStatus>> {
-  const { settings, linkKeys, log } = options;
+  const { settings, linkKeys } = options;
   const { host } = settings.process;
   const clock = realClock;
+  const events = new RecentEvents(clock);
+  const log = events.follow(options.log);
   const identity = { role: 'sidecar', host, incarnation: nanoid() } as const;
   const task = new SidecarTask({
     clock,
@@ -47,11 +51,15 @@
     log,
   });
   const configuration = createHttpConfiguration(settings.platform.configuration);
+  let setInForce: PublishedSet | undefined;
   const setTask = new SetTask({
     clock,
     configuration,
     log,
-    onSet: (set) => task.applySet(set),
+    onSet: (set) => {
+      setInForce = set;
+      task.applySet(set);
+    },
     send: (peer, frame) => task.sendSet(peer, frame),
     isWatcher: () => false,
     forwards: true,
@@ -60,9 +68,8 @@
   });
   task.followSetNews((news) => setTask.hear(news));
   const links = await listenWebSocket(settings.listen.links, (peer) => task.accept(peer));
-  const admin = await listenHttp(settings.listen.admin, (_request, response) =>
-    respondJson(response, 200, task.status()),
-  );
+  const source = sidecarSource(task, events, () => setInForce);
+  const admin = await listenHttp(settings.listen.admin, createAdminHandler({ source, clock, log }));
   task.start();
   setTask.start();
   log('processStarted', {
--- a/tasks/entry/_router.ts
+++ b/tasks/entry/_router.ts
@@ -108,7 +108,7 @@
    * @param request The request; hosts that it has tried are left out.
    * @returns The host, or `undefined` when none can be reached.
    */
-  choose(request: OpenRequest): string | undefined {
+  choose(request: Pick<OpenRequest, 'destination' | 'tried'>): string | undefined {
     const { destination, tried } = request;
     if (destination.kind === 'pool') {
       const table = this.#tables.get(destination.pool)?.table;
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -2,7 +2,8 @@
 import type { BurnSnapshot } from '../../core/burn/mod.ts';
 import { RetryBudget } from '../../core/admission/mod.ts';
 import type { Clock } from '../../core/clock/mod.ts';
-import type { ExchangeName } from '../../core/identity/mod.ts';
+import type { AdapterVersion, ExchangeName } from '../../core/identity/mod.ts';
+import type { LimitUse } from '../../core/limits/mod.ts';
 import type { ExchangeEvent, Identity, LinkTiming, SetFrame } from '../../core/link/mod.ts';
 import { Membership } from '../../core/membership/mod.ts';
 import type { ListedHost, MembershipChange } from '../../core/membership/mod.ts';
@@ -22,6 +23,7 @@
 import { planCall } from './_planCall.ts';
 import { noteToken, requestSample } from './_requestSample.ts';
 import { Router } from './_router.ts';
+import { TenantLimits } from './_tenantLimits.ts';
 import { LinkTask } from './linkTask.ts';
 import type { LinkNews, LinkStatus } from './linkTask.ts';
 import type { Submission, SubmissionEvent } from './request.ts';
@@ -51,6 +53,16 @@
   readonly links: readonly LinkStatus[];
 };
 
+/** What an entry knows, to be read only. */
+export type EntryInspection = {
+  readonly set: PublishedSet | undefined;
+  readonly membership: Membership;
+  readonly statuses: readonly LinkStatus[];
+  readonly limits: readonly LimitUse[];
+  /** Returns where a request for an adapter version would go now. */
+  readonly choose: (pool: string, adapterVersion: AdapterVersion) => string | undefined;
+};
+
 type Message =
   | { readonly kind: 'hosts'; readonly hosts: readonly ListedHost[] }
   | { readonly kind: 'set'; readonly set: PublishedSet }
@@ -87,6 +99,8 @@
 
   readonly #burn: BurnRecorder;
 
+  readonly #limits = new TenantLimits();
+
   #set: PublishedSet | undefined;
 
   #exchanges = 0;
@@ -166,6 +180,18 @@
     };
   }
 
+  /** Returns what this process knows of hosts and the set. */
+  inspect(): EntryInspection {
+    const statuses = [...this.#statuses.values()];
+    const limits = this.#limits.uses(this.#options.clock.now());
+    const choose: EntryInspection['choose'] = (pool, adapterVersion) =>
+      this.#router.choose({
+        destination: { kind: 'pool', pool, adapterVersion },
+        tried: new Set(),
+      });
+    return { set: this.#set, membership: this.#membership, statuses, limits, choose };
+  }
+
   /** The hosts that the platform lists. */
   get members(): readonly ListedHost[] {
     return this.#membership.members;
@@ -192,8 +218,10 @@
   }
 
   readonly #handlers: Handlers<Message, void> = {
-    hosts: ({ hosts }) =>
-      this.#membership.applyList(hosts).forEach((change) => this.#applyChange(change)),
+    hosts: ({ hosts }) => {
+      this.#limits.applyHosts(hosts);
+      this.#membership.applyList(hosts).forEach((change) => this.#applyChange(change));
+    },
     set: ({ set }) => this.#takeSet(set),
     submit: ({ submission }) => this.#accept(submission),
     abandon: ({ name }) => this.#abandon(name),
@@ -212,6 +240,7 @@
     this.#set = set;
     this.#router.noteSet(set);
     this.#burn.applyObjectives(set.objectives);
+    this.#limits.applySet(set, this.#options.clock.now());
     const { generation, digest } = set;
     this.#links.current.forEach((link) => link.noteSet({ generation, digest }));
   }
@@ -233,6 +262,7 @@
       keys: linkKeys,
       target: member.host,
       address: member.address,
+      demand: () => this.#limits.demandFor(member.host, clock.now()),
       afterEpoch: this.#linksOpened * EPOCHS_PER_LINK,
       onNews: (news) => {
         const isRetired = this.#links.get(member.host) !== link;
@@ -261,6 +291,7 @@
   #noteStatus(status: LinkStatus): void {
     if (this.#links.get(status.host) === undefined) return;
     this.#statuses.set(status.host, status);
+    this.#limits.noteTotals(status.host, status.demand, this.#options.clock.now());
     this.#router.noteStatus(status);
     const { host: peer, health, peerSet: set } = status;
     this.#onSetNews?.(
@@ -310,6 +341,8 @@
     const plan = planCall(set, caller.tenant, submission.request);
     if (plan.kind === 'not-run') return plan;
     const now = this.#options.clock.now();
+    const refusal = this.#limits.admit(caller.tenant, plan.call, now);
+    if (refusal !== undefined) return refusal;
     return {
       submission,
       tenant: caller.tenant,
@@ -433,6 +466,7 @@
     this.#byExchange.delete(request.exchange);
     this.#router.ended(request.exchange);
     this.#requests.delete(submission.name);
+    this.#limits.release(request.tenant, request.call);
     if (request.link !== undefined) this.#links.release(request.link, this.#isUsed);
     this.#recordBurn(request, outcome);
     const elapsedMs = Math.round(this.#options.clock.now() - request.startedAt);
--- a/tasks/entry/linkTask.ts
+++ b/tasks/entry/linkTask.ts
@@ -1,5 +1,6 @@
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { ExchangeName, Incarnation } from '../../core/identity/mod.ts';
+import type { DemandTotal } from '../../core/limits/mod.ts';
 import { DEFAULT_LINK_TIMING, EntryLink } from '../../core/link/mod.ts';
 import type {
   Call,
@@ -27,6 +28,8 @@
   readonly incarnation: Incarnation;
   readonly report: LoadReport;
   readonly peerSet: SetStamp;
+  /** Demand of tenants that the sidecar relays. */
+  readonly demand: readonly DemandTotal[];
 };
 
 /** What a `LinkTask` tells its owner. */
@@ -162,7 +165,7 @@
   }
 
   #receive(epoch: Epoch, bytes: Uint8Array): readonly EntryLinkAction[] {
-    const envelope = decodeEnvelope<SidecarFrame>(bytes);
+    const envelope = decodeEnvelope<SidecarFrame>(bytes, 'sidecar');
     if (envelope !== undefined) return this.#link.received(epoch, envelope, this.#now());
     this.#options.log('linkDamaged', { peer: this.#options.target });
     this.#connections.get(epoch)?.close();
@@ -199,12 +202,12 @@
 
   /** Tells the owner the link's status when it differs from what was told last. */
   #tellStatus(): void {
-    const { health, incarnation, report, peerSet } = this.#link;
+    const { demand, health, incarnation, report, peerSet } = this.#link;
     const told = this.#toldStatus;
     const isSame =
       told.health === health && told.incarnation === incarnation && told.report === report;
     if (isSame) return;
-    const status = { host: this.#options.target, health, incarnation, report, peerSet };
+    const status = { host: this.#options.target, health, incarnation, report, peerSet, demand };
     this.#toldStatus = status;
     this.#options.onNews({ kind: 'link-status', status });
   }
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -1,5 +1,8 @@
+import { BurnRecorder, MetIncarnations } from '../../core/burn/mod.ts';
+import type { BurnSnapshot } from '../../core/burn/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { ExchangeName } from '../../core/identity/mod.ts';
+import { DemandRelay } from '../../core/limits/mod.ts';
 import { SidecarLinks } from '../../core/link/mod.ts';
 import type {
   Call,
@@ -11,6 +14,7 @@
   SetFrame,
   SetStamp,
   SidecarLinksAction,
+  SidecarStatus as LinksStatus,
 } from '../../core/link/mod.ts';
 import { notRun } from '../../core/outcome/mod.ts';
 import { createAdaptiveRate } from '../../core/residence/mod.ts';
@@ -19,6 +23,7 @@
 import { decodeEnvelope, encodeEnvelope } from '../_codec.ts';
 import { dispatch } from '../_handlers.ts';
 import type { Handlers } from '../_handlers.ts';
+import { limitLogRate } from '../_limitLogRate.ts';
 import { Mailbox } from '../mailbox/mod.ts';
 import type { Connection, ConnectionEvents, Engine, PlainService } from '../ports/mod.ts';
 import type { SetNews } from '../set/mod.ts';
@@ -87,6 +92,15 @@
 
   readonly #connections = new Map<ConnectionNumber, Connection>();
 
+  readonly #burn: BurnRecorder;
+
+  readonly #demand = new DemandRelay();
+
+  /** For events that a stranger can cause. */
+  readonly #guardedLog: Log;
+
+  readonly #met = new MetIncarnations();
+
   readonly #serviceRunner: ServiceRunner | undefined;
 
   #engineRunner: EngineRunner | undefined;
@@ -105,13 +119,15 @@
 
   constructor(options: SidecarTaskOptions) {
     this.#options = options;
-    const { identity, linkKeys, nonce, heartbeatMs = 250 } = options;
+    this.#guardedLog = limitLogRate(options.log, options.clock);
+    const { clock, identity, linkKeys, nonce, heartbeatMs = 250 } = options;
+    this.#burn = new BurnRecorder({ identity, startedAt: clock.now() });
     this.#links = new SidecarLinks({
       identity,
       keys: linkKeys,
       nonce,
       heartbeatMs,
-      status: () => ({ set: this.#set, report: this.#report() }),
+      status: () => this.#heartbeatStatus(),
     });
     this.#mailbox = new Mailbox<Message>({
       handle: (message) => {
@@ -180,10 +196,16 @@
     };
   }
 
+  /** Returns which entries were met, so that a report can name those that are missing. */
+  burn(): BurnSnapshot {
+    const now = this.#now();
+    return this.#burn.snapshot(now, this.#met.list(now));
+  }
+
   readonly #handlers: Handlers<Message, void> = {
     accepted: ({ number, peer }) => {
       this.#connections.set(number, peer);
-      this.#links.accepted(number, this.#now());
+      this.#perform(this.#links.accepted(number, this.#now()));
     },
     received: ({ number, bytes }) => this.#receive(number, bytes),
     closed: ({ number }) => {
@@ -218,12 +240,19 @@
     return new ServiceRunner({
       clock,
       service: backend.service,
+      log: this.#guardedLog,
       ledger: { host, incarnation, nonce, secret: `${nonce()}${nonce()}` },
       post: (message) => this.#mailbox.post(message),
       emit: (exchange, event) => this.#emit(exchange, event),
     });
   }
 
+  #heartbeatStatus(): LinksStatus {
+    const status = { set: this.#set, report: this.#report() };
+    const demand = this.#demand.totals(this.#now());
+    return demand.length === 0 ? status : { ...status, demand };
+  }
+
   #report(): LoadReport {
     const leaving = this.#onEmpty !== undefined || this.#engineRunner?.superseded === true;
     const { backendServer } = this.#options;
@@ -237,12 +266,12 @@
   }
 
   #receive(number: ConnectionNumber, bytes: Uint8Array): void {
-    const envelope = decodeEnvelope<EntryFrame>(bytes);
+    const envelope = decodeEnvelope<EntryFrame>(bytes, 'entry');
     if (envelope !== undefined) {
       this.#perform(this.#links.received(number, envelope, this.#now()));
       return;
     }
-    this.#options.log('linkDamaged', { connection: number });
+    this.#guardedLog('linkDamaged', { connection: number });
     this.#connections.get(number)?.close();
     this.#connections.delete(number);
     this.#links.closed(number);
@@ -284,9 +313,13 @@
     },
     run: ({ exchange, call, deadline }) => this.#run(exchange, call, deadline),
     cancel: ({ exchange }) => this.#engineRunner?.cancel(exchange),
-    'peer-set': ({ peer, set }) => this.#onSetNews?.({ kind: 'peer-set', peer, set }),
+    'peer-set': ({ peer, identity, set, demand }) => {
+      this.#met.note(identity, this.#now());
+      this.#demand.note(identity.host, demand, this.#now());
+      this.#onSetNews?.({ kind: 'peer-set', peer, set });
+    },
     'set-frame': ({ peer, frame }) => this.#onSetNews?.({ kind: 'peer-frame', peer, frame }),
-    refused: ({ detail }) => this.#options.log('linkRefused', { detail }),
+    refused: ({ detail }) => this.#guardedLog('linkRefused', { detail }),
   };
 
   #perform(actions: readonly SidecarLinksAction[]): void {
