--- a/bench/capacity/measureSlopes.ts
+++ b/bench/capacity/measureSlopes.ts
@@ -38,7 +38,6 @@
 
 const SECONDS = 60;
 
-
 const CHANGE_RUNS = 50;
 
 const CHUNK = { kind: 'chunk', text: ' legajo', tokens: 1 } as const;
