Try: tell entries of a changed residence at once

Cause of the red noisy tenant, traced: the quiet tenant's fourth stalled request (sent 5861, 271 ms) went to e1, where its adapter still loaded, while e2 had held it since 5763.5; the entry's report was up to 250 ms old. Its noisy neighbour's second replica was loaded first because it had more waiting work. Ruled out: limits and the store, which refuse and serve as in the calm run. Tried: a heartbeat after each order's reply.

--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -224,7 +224,10 @@
     },
     'engine-state': (message) => this.#engineRunner?.handle(message),
     'engine-silent': (message) => this.#engineRunner?.handle(message),
-    'order-reply': (message) => this.#engineRunner?.handle(message),
+    'order-reply': (message) => {
+      this.#engineRunner?.handle(message);
+      this.#perform(this.#links.announce(this.#now()));
+    },
     'engine-event': (message) => this.#engineRunner?.handle(message),
     'service-reply': (message) => this.#serviceRunner?.handle(message),
   };
