--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -224,10 +224,7 @@
     },
     'engine-state': (message) => this.#engineRunner?.handle(message),
     'engine-silent': (message) => this.#engineRunner?.handle(message),
-    'order-reply': (message) => {
-      this.#engineRunner?.handle(message);
-      this.#perform(this.#links.announce(this.#now()));
-    },
+    'order-reply': (message) => this.#engineRunner?.handle(message),
     'engine-event': (message) => this.#engineRunner?.handle(message),
     'service-reply': (message) => this.#serviceRunner?.handle(message),
   };
