Tell callers when to look again after an unknown outcome

Cause: only not-run carried Retry-After over HTTP, though a request given up on ends as unknown as often.

--- a/entry/outcomeStatus.ts
+++ b/entry/outcomeStatus.ts
@@ -39,11 +39,20 @@
   }
 }
 
+/** When to look again after an outcome that is not known, in milliseconds. */
+const UNKNOWN_RETRY_AFTER_MS = 1000;
+
+function retryAfterMs(outcome: Outcome): number | undefined {
+  if (outcome.kind === 'unknown') return UNKNOWN_RETRY_AFTER_MS;
+  return outcome.kind === 'not-run' ? outcome.retryAfterMs : undefined;
+}
+
 /** Returns the headers that tell a caller an outcome. */
 export function outcomeHeaders(outcome: Outcome): Readonly<Record<string, string>> {
   const headers = { 'Hyssopspread-Outcome': outcome.kind };
-  if (outcome.kind !== 'not-run' || outcome.retryAfterMs === undefined) return headers;
-  return { ...headers, 'Retry-After': String(Math.ceil(outcome.retryAfterMs / 1000)) };
+  const waitMs = retryAfterMs(outcome);
+  if (waitMs === undefined) return headers;
+  return { ...headers, 'Retry-After': String(Math.ceil(waitMs / 1000)) };
 }
 
 /** Returns the body that tells a caller why there is no answer. */
