--- a/core/set/objects.ts
+++ b/core/set/objects.ts
@@ -1,7 +1,7 @@
 /** What a pool's decisions favour when they cannot have both. */
 export type PoolPolicy = 'batch-efficiency' | 'load-stalls';
 
-/** A former house, with its own adapters and callers. */
+/** An organisation with its own adapters and callers. */
 export type Tenant = { readonly kind: 'tenant'; readonly name: string };
 
 /** Somebody who sends requests, known by the SHA-256 of a bearer token in hexadecimal. */
--- a/scenario/session/_faultVerbs.ts
+++ b/scenario/session/_faultVerbs.ts
@@ -80,7 +80,7 @@
   session.world.clock.schedule(session.directory.delayMs, () => session.observer.sawLeaving(host));
 }
 
-/** Verbs that break something or mend it. */
+/** Verbs that inject a fault or end it. */
 export const FAULT_VERBS: VerbTable = {
   kill: onProcess('kill', (process) => process.kill()),
   pause: {
