--- a/bench/capacity/workOut.ts
+++ b/bench/capacity/workOut.ts
@@ -155,8 +155,8 @@
       {
         role,
         matter: 'submits and routing',
-        mechanism: 'full scan of the pool for each request',
-        remedy: 'routing over the cell, two choices instead of a scan',
+        mechanism: 'servers that hold the version and two by rendezvous, out of the pool',
+        remedy: 'routing over the cell',
         isControl: false,
       },
       {
