--- a/carriage/backendConnections.ts
+++ b/carriage/backendConnections.ts
@@ -48,10 +48,13 @@
 /** Idle time after which a connection is closed; backend servers close theirs later. */
 const IDLE_MS: Milliseconds = 4000;
 
+/** Statuses below it announce an answer that follows. */
+const FIRST_FINAL_STATUS = 200;
+
 type Connection = {
   readonly client: Client;
   /** Whether the socket ended in an error, which undici takes for the end of some answers. */
-  wasReset: boolean;
+  readonly seen: { wasReset: boolean };
   isOpen: boolean;
   idleSince: Milliseconds;
 };
@@ -109,6 +112,7 @@
 
   #open(): Connection {
     const connect = buildConnector({ timeout: this.#options.connectMs, keepAlive: true });
+    const seen = { wasReset: false };
     const client = new Client(`http://${this.#options.address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -118,13 +122,13 @@
       connect: (options, callback) => {
         connect(options, (...result) => {
           result[1]?.once('error', () => {
-            connection.wasReset = true;
+            seen.wasReset = true;
           });
           callback(...result);
         });
       },
     });
-    const connection: Connection = { client, wasReset: false, isOpen: false, idleSince: 0 };
+    const connection: Connection = { client, seen, isOpen: false, idleSince: 0 };
     client.on('connect', () => {
       connection.isOpen = true;
     });
@@ -152,6 +156,7 @@
     let isOver = false;
     let wasSent = false;
     let resume: () => void = () => undefined;
+    let connecting: NodeJS.Timeout | undefined;
     const fail = (error: Error): void => {
       if (isOver) return;
       isOver = true;
@@ -159,12 +164,12 @@
       this.#discard(connection);
       events.failed(error, wasSent);
     };
-    const connecting = setTimeout(() => {
+    connecting = setTimeout(() => {
       if (!wasSent) fail(new Error(`no connection within ${this.#options.connectMs} ms`));
     }, this.#options.connectMs);
     connection.client.dispatch(
       {
-        method: request.method as 'GET',
+        method: request.method,
         path: request.path,
         headers: request.headers,
         body: request.body.length > 0 ? request.body : null,
@@ -176,7 +181,7 @@
         },
         onHeaders: (status, headers, resumeBody, statusText) => {
           resume = resumeBody;
-          if (isOver || status < 200) return true;
+          if (isOver || status < FIRST_FINAL_STATUS) return true;
           const raw = (headers ?? []).map((part) => part.toString('latin1'));
           if (events.head(status, raw, statusText)) return true;
           isOver = true;
@@ -186,7 +191,7 @@
         onData: (piece) => (isOver ? false : events.data(piece)),
         onComplete: () => {
           if (isOver) return;
-          if (connection.wasReset) {
+          if (connection.seen.wasReset) {
             fail(new Error('the connection was reset before the answer was whole'));
             return;
           }
--- a/carriage/callerServer.ts
+++ b/carriage/callerServer.ts
@@ -49,6 +49,8 @@
 
 const PAYLOAD_TOO_LARGE = 413;
 
+const HEADERS_TOO_LARGE = 431;
+
 /** Largest header block that the parser takes; the configured limit is checked beside it. */
 const PARSER_HEADER_BYTES = 65_536;
 
@@ -59,6 +61,15 @@
   return request.rawHeaders.reduce((sum, text) => sum + text.length + HEADER_LINE_BYTES / 2, 0);
 }
 
+/** Answers a request that breaks a limit, and closes its connection since its rest is not read. */
+function refuse(request: IncomingMessage, response: ServerResponse, status: number): void {
+  if (response.headersSent) return;
+  request.removeAllListeners('data');
+  request.resume();
+  response.writeHead(status, { 'content-length': 0, connection: 'close' });
+  response.end();
+}
+
 /** Serves callers over HTTP/1.1. */
 export class CallerServer {
   readonly #server: Server;
@@ -136,11 +147,11 @@
     request.on('data', (piece: Buffer) => {
       size += piece.length;
       if (size <= this.#limits.maxBodyBytes) pieces.push(piece);
-      else this.#refuse(request, response, PAYLOAD_TOO_LARGE);
+      else refuse(request, response, PAYLOAD_TOO_LARGE);
     });
     request.once('end', () => {
       if (response.writableEnded) return;
-      if (headerBytes(request) > this.#limits.maxHeaderBytes) this.#refuse(request, response, 431);
+      if (headerBytes(request) > this.#limits.maxHeaderBytes) refuse(request, response, HEADERS_TOO_LARGE);
       else this.#handle(request, response, Buffer.concat(pieces));
     });
     // A caller that breaks off is noticed by the close of its response.
@@ -148,14 +159,6 @@
     response.on('error', () => undefined);
   }
 
-  #refuse(request: IncomingMessage, response: ServerResponse, status: number): void {
-    if (response.headersSent) return;
-    request.removeAllListeners('data');
-    request.resume();
-    response.writeHead(status, { 'content-length': 0, connection: 'close' });
-    response.end();
-  }
-
   #handle(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
     this.#options.handle({
       method: request.method ?? 'GET',
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -29,6 +29,9 @@
   idleTimeoutMs: 15_000,
 } as const;
 
+/** Time in which changes of servers gather; a server that leaves must be left within two seconds. */
+const SERVERS_PACE_MS = 400;
+
 /** Time after the signal to stop during which new requests are still served: the balancer needs two seconds. */
 const SERVE_ON_MS = 2600;
 
@@ -67,13 +70,13 @@
     return server === undefined ? [] : [server];
   });
   if (news.kind === 'all') {
-    gateway.replaceServers(servers, news.isAfterOutage);
+    gateway.servers.replace(servers, news.isAfterOutage);
     return;
   }
-  servers.forEach((server) => gateway.putServer(server));
+  servers.forEach((server) => gateway.servers.put(server));
   news.records
     .filter(({ value }) => value === undefined)
-    .forEach(({ key }) => gateway.removeServer(key.slice(SERVER_PREFIX.length)));
+    .forEach(({ key }) => gateway.servers.remove(key.slice(SERVER_PREFIX.length)));
 }
 
 function sleep(ms: number): Promise<void> {
@@ -114,6 +117,7 @@
     new StoreTask({
       ...shared,
       prefix: SERVER_PREFIX,
+      paceMs: SERVERS_PACE_MS,
       tell: (news) => applyServers(gateway, log, news),
     }),
   ];
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -25,6 +25,11 @@
   /** Names the sending in use; events of earlier ones are ignored. */
   sendingNumber: number;
   sentAt: Milliseconds;
+  /** Time from the request to the first byte of its answer; `undefined` before. */
+  firstByteMs: Milliseconds | undefined;
+  pieceAt: Milliseconds;
+  /** The longest time between two pieces of the answer. */
+  longestPauseMs: Milliseconds;
   /** Whether the request waits for an adapter at `view`. */
   isAwaiting: boolean;
   awaitingSince: Milliseconds;
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -1,24 +1,18 @@
-import { BackendConnections } from '../../carriage/mod.ts';
 import type { CallerRequest } from '../../carriage/mod.ts';
 import { Ejection, RetryBudget } from '../../core/admission/mod.ts';
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
-import { chooseServer, nextStep, ServerView } from '../../core/dispatch/mod.ts';
-import type { KeeperState, SendingEnd } from '../../core/dispatch/mod.ts';
+import { chooseServer, nextStep } from '../../core/dispatch/mod.ts';
+import type { SendingEnd, ServerView } from '../../core/dispatch/mod.ts';
 import { DONE, failed, unknown } from '../../core/outcome/mod.ts';
-import { Fleet, selectRoute, selectService } from '../../core/serving/mod.ts';
-import type {
-  BackendServer,
-  Deployment,
-  FleetChange,
-  ModelName,
-  Service,
-} from '../../core/serving/mod.ts';
+import { selectRoute, selectService } from '../../core/serving/mod.ts';
+import type { Deployment, ModelName, Service } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { decodeAnswerHead, decodeRequestHead, encodeRequestHeaders } from '../../platform/mod.ts';
 import type { AnswerHead } from '../../platform/mod.ts';
 import type { Dial } from '../ports/mod.ts';
-import { KeeperLinks } from './keeperLinks.ts';
+import { answerOwn } from './_answerOwn.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
+import { ServerTable } from './_serverTable.ts';
 
 /** How to build a `Gateway`. */
 export type GatewayOptions = {
@@ -60,13 +54,6 @@
 /** Time without an answer's head, in objectives, after which what may be repeated is sent again. */
 const SILENT_OBJECTIVES = 1;
 
-const STATUS_TEXT: Readonly<Record<number, string>> = {
-  404: 'Not Found',
-  502: 'Bad Gateway',
-  503: 'Service Unavailable',
-  504: 'Gateway Timeout',
-};
-
 /** Statuses that promise that a request has not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -74,19 +61,11 @@
 
 const SERVER_ERROR_STATUS = 500;
 
-const MILLISECONDS_IN_SECOND = 1000;
-
 /** Serves callers' requests: chooses servers, sends, sends again, answers. */
 export class Gateway {
   readonly #options: GatewayOptions;
 
-  readonly #fleet = new Fleet();
-
-  readonly #views = new Map<string, ServerView>();
-
-  readonly #connections = new Map<string, BackendConnections>();
-
-  readonly #links: KeeperLinks;
+  readonly #table: ServerTable;
 
   readonly #budgets = new Map<string, RetryBudget>();
 
@@ -102,15 +81,19 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    this.#links = new KeeperLinks({
-      clock: options.clock,
-      dial: options.dial,
-      log: options.log,
-      tell: (address, state) => this.#applyKeeper(address, state),
-      opened: (address) => this.#tellUses(address),
+    this.#table = new ServerTable({
+      ...options,
+      engineOf: (service) => this.#deployment?.services.get(service)?.engine,
+      changed: (view) => this.#releaseAwaiting(view),
+      left: (id) => this.#ejection.forget(id),
     });
   }
 
+  /** The backend servers that are known. */
+  get servers(): ServerTable {
+    return this.#table;
+  }
+
   /** The deployment in force. */
   get deployment(): Deployment | undefined {
     return this.#deployment;
@@ -118,7 +101,7 @@
 
   /** Whether callers' requests can be served. */
   get isReady(): boolean {
-    return this.#deployment !== undefined && this.#views.size > 0 && !this.#isRefusing;
+    return this.#deployment !== undefined && this.#table.size > 0 && !this.#isRefusing;
   }
 
   /** Requests that are still owed an answer. */
@@ -129,8 +112,7 @@
   /** Begins to watch keepers. */
   start(): void {
     this.#options.clock.schedule(TICK_MS, () => {
-      this.#links.tick();
-      this.#fleet.expire(this.#options.clock.now()).forEach((change) => this.#applyChange(change));
+      this.#table.tick();
       this.start();
     });
   }
@@ -151,7 +133,7 @@
     }
     this.#deployment = deployment;
     log('deploymentTaken', { version: deployment.version, routes: deployment.routes.length });
-    [...this.#views.values()].forEach((view) => this.#openLink(view.server));
+    this.#table.openLinks();
   }
 
   /** Notes the newest version of an adapter. */
@@ -161,38 +143,13 @@
     if (version > known) this.#options.log('releaseTaken', { adapter: name, version });
   }
 
-  /** Takes one published server. */
-  putServer(server: BackendServer): void {
-    const view = this.#views.get(server.id);
-    if (view !== undefined) view.server = server;
-    const change = this.#fleet.put(server);
-    if (change !== undefined) this.#applyChange(change);
-  }
-
-  /** Takes the removal of a published server; after an outage it may come back. */
-  removeServer(id: string): void {
-    const change = this.#fleet.remove(id);
-    if (change !== undefined) this.#applyChange(change);
-  }
-
-  /** Takes the whole list of published servers. */
-  replaceServers(list: readonly BackendServer[], isAfterOutage: boolean): void {
-    list.forEach((server) => {
-      const view = this.#views.get(server.id);
-      if (view !== undefined) view.server = server;
-    });
-    this.#fleet
-      .replace(list, this.#options.clock.now(), isAfterOutage)
-      .forEach((change) => this.#applyChange(change));
-  }
-
   /** Serves one request of a caller. */
   handle(caller: CallerRequest): void {
     const head = decodeRequestHead(caller.headers);
     const { clock } = this.#options;
     const deployment = this.#deployment;
     if (deployment === undefined || this.#isRefusing) {
-      this.#answerOwn(caller, 503, STARTING_RETRY_MS);
+      answerOwn(caller, 503, STARTING_RETRY_MS);
       this.#logEnd(head.requestId, 'starting', { isLeaving: this.#isRefusing });
       return;
     }
@@ -200,7 +157,7 @@
     const name = route === undefined ? undefined : selectService(route, head.requestId);
     const service = name === undefined ? undefined : deployment.services.get(name);
     if (route === undefined || service === undefined) {
-      this.#answerOwn(caller, 404);
+      answerOwn(caller, 404);
       this.#logEnd(head.requestId, 'no-route', { version: deployment.version });
       return;
     }
@@ -220,6 +177,9 @@
       sending: undefined,
       sendingNumber: 0,
       sentAt: 0,
+      firstByteMs: undefined,
+      pieceAt: 0,
+      longestPauseMs: 0,
       isAwaiting: false,
       awaitingSince: 0,
       isOver: false,
@@ -244,9 +204,7 @@
 
   #viewsOf(service: Service, tried: ReadonlySet<string>): readonly ServerView[] {
     const now = this.#options.clock.now();
-    const all = [...this.#views.values()].filter(
-      ({ server }) => server.service === service.name && !tried.has(server.id),
-    );
+    const all = this.#table.viewsOf(service).filter(({ server }) => !tried.has(server.id));
     const sound = all.filter(({ server }) => !this.#ejection.isEjected(server.id, now));
     return sound.length > 0 ? sound : all;
   }
@@ -285,7 +243,7 @@
   }
 
   #want(view: ServerView, name: ModelName, waitMs: Milliseconds): void {
-    this.#links.want(this.#keeperAddress(view.server), name, this.#minVersion(name), waitMs);
+    this.#table.want(view, name, this.#minVersion(name), waitMs);
   }
 
   #awaitAdapter(request: OpenRequest, view: ServerView, waitMs: Milliseconds): void {
@@ -310,12 +268,12 @@
     request.isAwaiting = false;
     request.sendingNumber = number;
     request.sentAt = now;
-    this.#noteUse(view, head.modelName, view.noteSent(head.modelName));
+    this.#table.noteSent(view, head.modelName);
     const version = this.#minVersion(head.modelName);
     const isCurrent = (): boolean => !request.isOver && request.sendingNumber === number;
     const answering = { state: 'none' as 'none' | 'passing' | 'dropping' };
     let dropped: SendingEnd = 'unknown';
-    request.sending = this.#connectionsOf(view.server).send(
+    request.sending = this.#table.connectionsOf(view.server).send(
       {
         method: caller.method,
         path: caller.path,
@@ -349,6 +307,7 @@
         },
         data: (piece) => {
           if (!isCurrent() || answering.state !== 'passing') return true;
+          this.#notePiece(request);
           const takesMore = caller.answer.write(piece);
           if (!takesMore) caller.answer.onDrain(() => request.sending?.resume());
           return takesMore;
@@ -373,6 +332,13 @@
     this.#watchSilence(request, number);
   }
 
+  #notePiece(request: OpenRequest): void {
+    const now = this.#options.clock.now();
+    if (request.firstByteMs === undefined) request.firstByteMs = now - request.acceptedAt;
+    else request.longestPauseMs = Math.max(request.longestPauseMs, now - request.pieceAt);
+    request.pieceAt = now;
+  }
+
   /** Sends what may be repeated elsewhere when its server stays silent. */
   #watchSilence(request: OpenRequest, number: number): void {
     const { route } = request;
@@ -419,12 +385,10 @@
     const { clock, log } = this.#options;
     const { view, head, route } = request;
     if (view !== undefined) {
-      this.#noteUse(view, head.modelName, view.noteEnded(head.modelName));
+      this.#table.noteEnded(view, head.modelName);
       request.tried.add(view.server.id);
-      if (end === 'unknown')
-        this.#ejection.note(view.server.id, unknown('reply-lost', ''), clock.now());
-      if (end === 'failed')
-        this.#ejection.note(view.server.id, failed('backend-error', ''), clock.now());
+      if (end === 'unknown') this.#ejection.note(view.server.id, unknown('reply-lost', ''), clock.now());
+      if (end === 'failed') this.#ejection.note(view.server.id, failed('backend-error', ''), clock.now());
     }
     request.view = undefined;
     request.sending = undefined;
@@ -456,7 +420,7 @@
     } else if (request.mayHaveRun === 0) {
       this.#refuse(request, step === 'again' ? 'retry-budget' : end, 300);
     } else {
-      this.#answerOwn(request.caller, 502);
+      answerOwn(request.caller, 502);
       this.#end(request, 'unknown');
     }
   }
@@ -477,30 +441,21 @@
           this.#options.clock.now(),
         );
       }
-      this.#answerOwn(request.caller, 504);
+      answerOwn(request.caller, 504);
       this.#end(request, 'unknown');
     }
   }
 
   #refuse(request: OpenRequest, reason: string, retryAfterMs: Milliseconds): void {
     if (request.mayHaveRun > 0 && request.route.repeatability === 'once') {
-      this.#answerOwn(request.caller, 502);
+      answerOwn(request.caller, 502);
       this.#end(request, 'unknown', { reason });
       return;
     }
-    this.#answerOwn(request.caller, 503, retryAfterMs * (1 + this.#options.random() / 2));
+    answerOwn(request.caller, 503, retryAfterMs * (1 + this.#options.random() / 2));
     this.#end(request, 'refused', { reason });
   }
 
-  #answerOwn(caller: CallerRequest, status: number, retryAfterMs?: Milliseconds): void {
-    const retry =
-      retryAfterMs === undefined
-        ? []
-        : ['Retry-After', (retryAfterMs / MILLISECONDS_IN_SECOND).toFixed(2)];
-    caller.answer.begin(status, STATUS_TEXT[status] ?? '', ['Content-Length', '0', ...retry]);
-    caller.answer.end();
-  }
-
   #end(request: OpenRequest, end: RequestEnd, fields: { readonly reason?: string } = {}): void {
     if (request.isOver) return;
     request.isOver = true;
@@ -509,7 +464,7 @@
     const { view, head, sending } = request;
     if (sending !== undefined && view !== undefined) {
       if (end !== 'answered') sending.abort();
-      this.#noteUse(view, head.modelName, view.noteEnded(head.modelName));
+      this.#table.noteEnded(view, head.modelName);
     }
     this.#logEnd(head.requestId, end, {
       ...fields,
@@ -517,6 +472,8 @@
       adapter: head.modelName,
       server: view?.server.id,
       tookMs: Math.round(this.#options.clock.now() - request.acceptedAt),
+      firstByteMs: request.firstByteMs && Math.round(request.firstByteMs),
+      longestPauseMs: Math.round(request.longestPauseMs),
       mayHaveRun: request.mayHaveRun,
       notRun: request.notRun,
       version: this.#deployment?.version,
@@ -527,51 +484,6 @@
     this.#options.log('gatewayRequestEnded', { request, end, ...fields });
   }
 
-  #noteUse(view: ServerView, name: ModelName | undefined, hasChanged: boolean): void {
-    if (!hasChanged || name === undefined || !name.includes('/')) return;
-    this.#links.use(this.#keeperAddress(view.server), name, view.uses.get(name) ?? 0);
-  }
-
-  #tellUses(address: string): void {
-    for (const view of this.#views.values()) {
-      if (this.#keeperAddress(view.server) !== address) continue;
-      view.uses.forEach((count, name) => this.#links.use(address, name, count));
-    }
-  }
-
-  #keeperAddress(server: BackendServer): string {
-    return `${server.address.slice(0, server.address.lastIndexOf(':'))}:${this.#options.keeperPort}`;
-  }
-
-  #connectionsOf(server: BackendServer): BackendConnections {
-    let connections = this.#connections.get(server.id);
-    if (connections === undefined) {
-      connections = new BackendConnections({ address: server.address });
-      this.#connections.set(server.id, connections);
-    }
-    return connections;
-  }
-
-  #openLink(server: BackendServer): void {
-    const engine = this.#deployment?.services.get(server.service)?.engine;
-    if (engine === undefined) return;
-    this.#links.open(this.#keeperAddress(server), {
-      entry: this.#options.entry,
-      engine,
-      serverId: server.id,
-      bornAt: server.bornAt,
-    });
-  }
-
-  #applyKeeper(address: string, state: KeeperState | undefined): void {
-    for (const view of this.#views.values()) {
-      if (this.#keeperAddress(view.server) !== address) continue;
-      if (state === undefined) view.keeper = undefined;
-      else view.applyKeeper(state);
-      this.#releaseAwaiting(view);
-    }
-  }
-
   /** Sends the requests whose adapter has come to a server, or places them anew. */
   #releaseAwaiting(view: ServerView): void {
     for (const request of [...this.#open]) {
@@ -585,42 +497,4 @@
       }
     }
   }
-
-  #applyChange(change: FleetChange): void {
-    const { server } = change;
-    this.#options.log('serverChanged', {
-      server: server.id,
-      change: change.kind,
-      service: server.service,
-      address: server.address,
-    });
-    const handlers: Readonly<Record<FleetChange['kind'], () => void>> = {
-      listed: () => {
-        this.#views.set(server.id, new ServerView(server));
-        this.#openLink(server);
-      },
-      leaving: () => {
-        const view = this.#views.get(server.id);
-        if (view !== undefined) this.#releaseAwaiting(view);
-      },
-      left: () => this.#dropServer(server),
-    };
-    handlers[change.kind]();
-  }
-
-  #dropServer(server: BackendServer): void {
-    const view = this.#views.get(server.id);
-    this.#views.delete(server.id);
-    this.#ejection.forget(server.id);
-    if (view === undefined) return;
-    const address = this.#keeperAddress(server);
-    const isShared = [...this.#views.values()].some(
-      (each) => this.#keeperAddress(each.server) === address,
-    );
-    if (!isShared) this.#links.close(address);
-    view.keeper = undefined;
-    this.#releaseAwaiting(view);
-    // Requests that it still answers keep their connections, which end with them.
-    this.#connections.delete(server.id);
-  }
 }
--- a/tasks/gateway/storeTask.ts
+++ b/tasks/gateway/storeTask.ts
@@ -5,8 +5,13 @@
 
 /** The calls of the store that the task makes. */
 export type RecordStore = {
-  readonly readAll: (prefix: string) => Promise<StoreReading>;
-  readonly watch: (prefix: string, revision: number, waitMs: Milliseconds) => Promise<StoreReading>;
+  readonly readAll: (prefix: string, patienceMs: Milliseconds) => Promise<StoreReading>;
+  readonly watch: (
+    prefix: string,
+    revision: number,
+    waitMs: Milliseconds,
+    patienceMs: Milliseconds,
+  ) => Promise<StoreReading>;
 };
 
 /** What the task tells its owner. */
@@ -32,15 +37,30 @@
   readonly tell: (news: StoreNews) => void;
   /** A number from 0 to 1, which spreads the calls of many processes. */
   readonly random: () => number;
+  /** Least time between two calls, in which changes gather; calls are paid for. @default 0 */
+  readonly paceMs?: Milliseconds;
 };
 
-/** Time for which one call waits for changes; a silent connection is noticed soon after it. */
-const WATCH_MS: Milliseconds = 2000;
+/**
+ * Time for which one call waits for changes. A connection that has fallen silent is noticed only after
+ * it, and a change must be in force within two seconds.
+ */
+const WATCH_MS: Milliseconds = 1000;
 
-/** Time after the first failed call until the next one; doubles up to the longest. */
-const FIRST_RETRY_MS: Milliseconds = 150;
+/** Time for which a call after a failed one waits, so that the end of an outage is noticed at once. */
+const PROBE_MS: Milliseconds = 1;
 
-const LONGEST_RETRY_MS: Milliseconds = 800;
+/** Time from a failed call until the next one; short, since an outage may end at any moment. */
+const RETRY_MS: Milliseconds = 200;
+
+/**
+ * Time after which a call without an answer is given up. The store answers in some milliseconds, or in
+ * a few hundred when it is slow; a connection that a partition has silenced never answers.
+ */
+const PATIENCE_MS: Milliseconds = 600;
+
+/** The patience of each third call after failures, for a store that is slower than expected. */
+const LONG_PATIENCE_MS: Milliseconds = 2500;
 
 /** Time after an outage in which removed records may still come back. */
 const AFTER_OUTAGE_MS: Milliseconds = 2000;
@@ -73,21 +93,29 @@
 
   #turn(): void {
     if (this.#isClosed) return;
+    const { clock, paceMs = 0 } = this.#options;
+    const startedAt = clock.now();
     this.#read()
-      .then(() => this.#turn())
+      .then(() => {
+        const restMs = startedAt + paceMs - clock.now();
+        if (restMs <= 0) this.#turn();
+        else clock.schedule(restMs, () => this.#turn());
+      })
       .catch((error: unknown) => this.#fail(error));
   }
 
   async #read(): Promise<void> {
     const { store, prefix } = this.#options;
+    const patienceMs = this.#failures % 3 === 2 ? LONG_PATIENCE_MS : PATIENCE_MS;
     if (this.#revision === undefined) {
-      const { records, revision } = await store.readAll(prefix);
+      const { records, revision } = await store.readAll(prefix, patienceMs);
       this.#succeed();
       this.#revision = revision;
       this.#options.tell({ kind: 'all', records, isAfterOutage: this.#isAfterOutage() });
       return;
     }
-    const { records, revision } = await store.watch(prefix, this.#revision, WATCH_MS);
+    const waitMs = this.#failures > 0 ? PROBE_MS : WATCH_MS;
+    const { records, revision } = await store.watch(prefix, this.#revision, waitMs, patienceMs);
     this.#succeed();
     this.#revision = revision;
     if (records.length === 0) return;
@@ -111,7 +139,6 @@
     if (error instanceof StoreError && error.isHistoryGone) this.#revision = undefined;
     this.#failures += 1;
     if (this.#failures === 1) log('storeDown', { prefix, error: String(error) });
-    const pause = Math.min(LONGEST_RETRY_MS, FIRST_RETRY_MS * 2 ** (this.#failures - 1));
-    clock.schedule(pause * (0.5 + random()), () => this.#turn());
+    clock.schedule(RETRY_MS * (0.5 + random()), () => this.#turn());
   }
 }
--- a/tasks/keeper/keeper.ts
+++ b/tasks/keeper/keeper.ts
@@ -1,6 +1,6 @@
 import { AdapterPlaces } from '../../core/adapters/mod.ts';
 import type { PlaceOrder } from '../../core/adapters/mod.ts';
-import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
+import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { Holding } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { EngineOrder, EngineReport, OrderAnswer } from '../../platform/mod.ts';
@@ -70,7 +70,7 @@
 
   #isTurning = false;
 
-  #cancelTurn: () => void = () => undefined;
+  #cancelTurn: Cancellation | undefined;
 
   constructor(options: KeeperOptions) {
     this.#options = options;
@@ -107,7 +107,7 @@
   /** Gives no more orders. */
   close(): void {
     this.#isClosed = true;
-    this.#cancelTurn();
+    this.#cancelTurn?.();
     this.#links.forEach(({ connection }) => connection.close());
   }
 
@@ -142,7 +142,7 @@
 
   #schedule(delay: Milliseconds): void {
     if (this.#isClosed || this.#isTurning) return;
-    this.#cancelTurn();
+    this.#cancelTurn?.();
     this.#cancelTurn = this.#options.clock.schedule(delay, () => {
       this.#isTurning = true;
       this.#turn()
--- a/tasks/keeper/messages.ts
+++ b/tasks/keeper/messages.ts
@@ -40,7 +40,7 @@
 
 /** Encodes a message of a keeper's link. */
 export function encodeMessage(message: EntryMessage | KeeperMessage): Uint8Array {
-  return packr.pack(message) as Uint8Array;
+  return packr.pack(message);
 }
 
 /**
