--- a/carriage/callerServer.ts
+++ b/carriage/callerServer.ts
@@ -124,12 +124,6 @@
     this.#isLeaving = true;
   }
 
-  /** Closes connections without a request, and takes no new ones. */
-  closeIdle(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
-  }
-
   /** Closes all connections. */
   abort(): void {
     this.#server.close();
--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -26,6 +26,7 @@
   readonly batchWidth: number;
   /** How long the request may wait for an adapter. */
   readonly maxLoadWaitMs: Milliseconds;
+  readonly now: Milliseconds;
   /** The entry's own zone. */
   readonly availabilityZone: string;
 };
@@ -45,15 +46,21 @@
 /** Adapters that one engine fetches at a time. */
 const LOADS_AT_ONCE = 3;
 
+/** Pause, in multiples of the mean of all servers, above which a server gets no further adapter. */
+const BUSY_PAUSE = 1.5;
+
+/** Pause between pieces above which a busy server's adapters get another copy. */
+const REPLICATE_PAUSE_MS: Milliseconds = 70;
+
 /** Share of the batch width by which a load above the mean calls for another copy. */
 const REPLICATE_LOAD = 0.25;
 
 /** Extra cost, in requests, of a plain server in another zone; a crossing costs under a millisecond. */
 const OTHER_ZONE_COST = 0.5;
 
-/** Cost of one more request at a server: its time to the first byte times what it has to do. */
-function costOf(view: ServerView, batchWidth: number): number {
-  return view.firstByteMs * (1 + (4 * view.load) / batchWidth);
+/** Cost of one more request at a server: its pauses, longer by what it has to begin and to run. */
+function costOf(view: ServerView, { batchWidth, now }: ChoiceRequest): number {
+  return view.pauseMs(now) * (1 + view.starting / 2 + view.load / batchWidth);
 }
 
 function cheapest(
@@ -83,25 +90,38 @@
   return rendezvousOrder(name, [...byId.keys()]).map((id) => byId.get(id)!);
 }
 
+function meanOf(views: readonly ServerView[], value: (view: ServerView) => number): number {
+  return views.reduce((sum, view) => sum + value(view), 0) / Math.max(1, views.length);
+}
+
 function mayLoad(view: ServerView, batchWidth: number): boolean {
   return view.keeper !== undefined && view.keeper.freeablePlaces > 0 && view.load < batchWidth;
 }
 
+/** Servers that may take one more adapter without falling behind the others. */
+function calmOf(request: ChoiceRequest, views: readonly ServerView[]): readonly ServerView[] {
+  const { batchWidth, maxLoadWaitMs, now } = request;
+  const open = views.filter((view) => mayLoad(view, batchWidth));
+  const load = meanOf(open, (view) => view.load) + REPLICATE_LOAD * batchWidth;
+  const pause = meanOf(open, (view) => view.pauseMs(now)) * BUSY_PAUSE;
+  return open.filter(
+    (view) => view.load <= load && view.pauseMs(now) <= pause && loadWaitOf(view) <= maxLoadWaitMs,
+  );
+}
+
 /**
  * Chooses where an adapter that no server holds is loaded.
  *
- * The first server of the adapter's order that has a place and is not busier than the mean by much
- * is taken, so that an adapter comes back to the engine that still has a copy of its weights at hand.
+ * A server that held it not long ago still has its weights at hand and loads it at once. Otherwise the
+ * first server of the adapter's order is taken, so that entries agree. Servers that are busier than
+ * the others are passed over.
  */
 function chooseLoad(request: ChoiceRequest, views: readonly ServerView[]): Choice {
   const { modelName = '', batchWidth, maxLoadWaitMs } = request;
-  const open = views.filter((view) => mayLoad(view, batchWidth));
-  const mean = open.reduce((sum, view) => sum + view.load, 0) / Math.max(1, open.length);
-  const calm = open.filter(
-    (view) => view.load <= mean + REPLICATE_LOAD * batchWidth && loadWaitOf(view) <= maxLoadWaitMs,
-  );
-  const [home] = ordered(modelName, calm);
+  const calm = ordered(modelName, calmOf(request, views));
+  const home = calm.find((view) => view.hasHeld(modelName)) ?? calm[0];
   if (home !== undefined) return { kind: 'load', view: home };
+  const open = views.filter((view) => mayLoad(view, batchWidth));
   const quickest = cheapest(open, loadWaitOf);
   if (quickest !== undefined && loadWaitOf(quickest) <= maxLoadWaitMs) {
     return { kind: 'load', view: quickest };
@@ -109,21 +129,26 @@
   return { kind: 'refuse', reason: 'no-place', retryAfterMs: FULL_RETRY_MS };
 }
 
+/** Chooses a server for another copy of an adapter whose holders are busier than the others. */
 function chooseReplica(
   request: ChoiceRequest,
   views: readonly ServerView[],
   best: ServerView,
 ): ServerView | undefined {
-  const { modelName = '', batchWidth, minVersion } = request;
-  const mean = views.reduce((sum, view) => sum + view.load, 0) / views.length;
-  if (best.load <= mean + REPLICATE_LOAD * batchWidth) return undefined;
-  const others = views.filter(
+  const { modelName = '', batchWidth, minVersion, now } = request;
+  const load = meanOf(views, (view) => view.load) + REPLICATE_LOAD * batchWidth;
+  const pause = Math.max(
+    REPLICATE_PAUSE_MS,
+    meanOf(views, (view) => view.pauseMs(now)) * BUSY_PAUSE,
+  );
+  if (best.load <= load && best.pauseMs(now) <= pause) return undefined;
+  const others = calmOf(request, views).filter(
     (view) =>
-      mayLoad(view, batchWidth) &&
       (view.versionOf(modelName) ?? -1) < minVersion &&
-      view.load <= mean,
+      costOf(view, request) < costOf(best, request),
   );
-  return ordered(modelName, others)[0];
+  const calm = ordered(modelName, others);
+  return calm.find((view) => view.hasHeld(modelName)) ?? calm[0];
 }
 
 /**
@@ -133,7 +158,7 @@
  * @param views The servers of the request's service that may be used.
  */
 export function chooseServer(request: ChoiceRequest, views: readonly ServerView[]): Choice {
-  const { modelName, minVersion, batchWidth } = request;
+  const { modelName, minVersion } = request;
   const ready = views.filter((view) => view.isReady);
   if (ready.length === 0) {
     return { kind: 'refuse', reason: 'no-server', retryAfterMs: NO_SERVER_RETRY_MS };
@@ -150,7 +175,7 @@
     return { kind: 'send', view: cheapest(open, cost)! };
   }
   const holders = open.filter((view) => (view.versionOf(modelName) ?? -1) >= minVersion);
-  const best = cheapest(holders, (view) => costOf(view, batchWidth));
+  const best = cheapest(holders, (view) => costOf(view, request));
   if (best === undefined) return chooseLoad(request, ready);
   const replicateAt = chooseReplica(request, ready, best);
   return { kind: 'send', view: best, ...(replicateAt === undefined ? {} : { replicateAt }) };
--- a/core/dispatch/serverView.ts
+++ b/core/dispatch/serverView.ts
@@ -23,6 +23,18 @@
 /** Time to the first byte that is assumed of a server before it has answered. */
 const ASSUMED_FIRST_BYTE_MS: Milliseconds = 40;
 
+/** Weight of the newest pause in a server's mean pause; a busy server makes hundreds a second. */
+const PAUSE_WEIGHT = 0.02;
+
+/** Pause between pieces that is assumed of a server that has made none lately. */
+const ASSUMED_PAUSE_MS: Milliseconds = 35;
+
+/** Time after which what is known of a server's pauses counts half. */
+const PAUSE_HALF_LIFE_MS: Milliseconds = 2000;
+
+/** Adapters that a server held and whose weights it still has at hand; more are forgotten. */
+const REMEMBERED_HOLDINGS = 150;
+
 /** What one entry knows of one backend server: published, told by its keeper, and seen itself. */
 export class ServerView {
   server: BackendServer;
@@ -36,6 +48,9 @@
   /** Mean time from sending a request to its first byte. */
   firstByteMs: Milliseconds = ASSUMED_FIRST_BYTE_MS;
 
+  /** Own requests that have been sent and have had no byte of an answer. */
+  starting = 0;
+
   /** Own requests in flight by adapter. */
   readonly uses = new Map<ModelName, number>();
 
@@ -45,8 +60,16 @@
   /** Adapters that the server said it lacks, with the time at which it said so. */
   readonly #lacking = new Map<ModelName, Milliseconds>();
 
+  /** Names that the server holds or held not long ago, the oldest first. */
+  readonly #remembered = new Set<ModelName>();
+
+  #pauseMs: Milliseconds = ASSUMED_PAUSE_MS;
+
+  #pauseAt: Milliseconds = 0;
+
   constructor(server: BackendServer) {
     this.server = server;
+    this.#remember(server.holdings.map(({ name }) => name));
   }
 
   /** Requests at the server: those of other entries as last told, and the own ones now. */
@@ -62,6 +85,7 @@
 
   /** Takes what the keeper says. */
   applyKeeper(state: KeeperState): void {
+    if (state.holdings !== this.keeper?.holdings) this.#remember(state.holdings.keys());
     this.keeper = state;
     this.#inFlightAtState = this.inFlight;
     for (const [name, at] of this.#lacking) {
@@ -76,6 +100,24 @@
     return this.server.holdings.find((holding) => holding.name === name)?.version;
   }
 
+  /** Whether the server holds an adapter or held it not long ago, so that its load is quick. */
+  hasHeld(name: ModelName): boolean {
+    return this.#remembered.has(name);
+  }
+
+  /** Mean pause between the pieces of the server's streams: long on slow and on busy servers. */
+  pauseMs(now: Milliseconds): Milliseconds {
+    const weight = 0.5 ** ((now - this.#pauseAt) / PAUSE_HALF_LIFE_MS);
+    return ASSUMED_PAUSE_MS + (this.#pauseMs - ASSUMED_PAUSE_MS) * weight;
+  }
+
+  /** Notes a pause between two pieces of a stream. */
+  notePause(tookMs: Milliseconds, now: Milliseconds): void {
+    const before = this.pauseMs(now);
+    this.#pauseMs = before + (tookMs - before) * PAUSE_WEIGHT;
+    this.#pauseAt = now;
+  }
+
   /** Notes that the server refused a request since it lacks what was named. */
   noteLacking(name: ModelName, now: Milliseconds): void {
     this.#lacking.set(name, now);
@@ -104,4 +146,15 @@
   noteFirstByte(tookMs: Milliseconds): void {
     this.firstByteMs += (tookMs - this.firstByteMs) * FIRST_BYTE_WEIGHT;
   }
+
+  #remember(names: Iterable<ModelName>): void {
+    for (const name of names) {
+      this.#remembered.delete(name);
+      this.#remembered.add(name);
+    }
+    for (const name of this.#remembered) {
+      if (this.#remembered.size <= REMEMBERED_HOLDINGS) return;
+      this.#remembered.delete(name);
+    }
+  }
 }
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,6 +16,31 @@
   'cluster',
 ];
 
+/** Names on the wire of the users' platform, which only `platform/` may know. */
+const PLATFORM_NAMES = [
+  'hyssopspread/(readiness|report|order|kv-)',
+  'x-(response-stamp|not-run|expect-instance|expect-version|deadline-ms|request-priority|model)$',
+  'kv-(key|range|watch|from|fetch)',
+  'path-prefix$',
+  'op/(config|version)',
+  '(target-latency|timeout|cold-remaining|remaining)-ms$',
+  'adapter-slots',
+  'HYSSOPSPREAD_NODE_FILE',
+].join('|');
+
+const PLATFORM_NAMES_MESSAGE =
+  'only platform/ knows the names of the platform; decode them there into fields of the product';
+
+/** What `platform/` may not use, since it decides nothing. */
+const DECISIONS = ['dispatch', 'adapters', 'admission', 'placement', 'residence', 'limits'];
+
+const PLAIN_SYNTAX = ['ForInStatement', 'LabeledStatement', 'WithStatement'];
+
+const PLATFORM_SYNTAX = ['Literal[value', 'TemplateElement[value.raw'].map((start) => ({
+  selector: `${start}=/${PLATFORM_NAMES.replaceAll('/', '\\u002F')}/i]`,
+  message: PLATFORM_NAMES_MESSAGE,
+}));
+
 export default [
   { ignores: ['dist/', 'target/', 'node_modules/', 'coverage/'] },
   plugins.stylistic,
@@ -53,7 +78,7 @@
       'n/no-process-exit': 'off',
       '@typescript-eslint/consistent-type-definitions': ['error', 'type'],
       '@typescript-eslint/explicit-module-boundary-types': 'error',
-      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'no-restricted-syntax': ['error', ...PLAIN_SYNTAX, ...PLATFORM_SYNTAX],
       'no-continue': 'off',
       'no-await-in-loop': 'off',
       'no-param-reassign': ['error', { props: false }],
@@ -89,6 +114,23 @@
       ],
     },
   },
+  {
+    files: ['platform/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': ['error', ...PLAIN_SYNTAX],
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: DECISIONS.map((name) => `**/core/${name}/**`),
+              message: 'platform/ holds names, formats and calls; decide in core/',
+            },
+          ],
+        },
+      ],
+    },
+  },
   {
     files: ['**/*.test.ts'],
     rules: {
@@ -96,5 +138,11 @@
       'no-unused-expressions': 'off',
     },
   },
-  { files: ['**/*.mjs'], rules: { 'import-x/no-default-export': 'off' } },
+  {
+    files: ['**/*.mjs'],
+    rules: {
+      'import-x/no-default-export': 'off',
+      'no-restricted-syntax': ['error', ...PLAIN_SYNTAX],
+    },
+  },
 ];
--- /dev/null
+++ b/programs/serving/serving.test.ts
@@ -0,0 +1,267 @@
+import { expect } from 'chai';
+import type { WorkerFault } from '../../platform/testing/mod.ts';
+import { sampleDeployment } from '../../platform/testing/mod.ts';
+import { startServingWorld } from './testing/servingWorld.ts';
+import type { ServingWorld, ServingWorldOptions } from './testing/servingWorld.ts';
+
+describe('the processes on the platform', () => {
+  let world: ServingWorld;
+
+  async function start(options: ServingWorldOptions = {}): Promise<void> {
+    world = await startServingWorld({ graceMs: 200, ...options });
+  }
+
+  function setFault(fault: WorkerFault): void {
+    [world.engine, ...world.apps].forEach((worker) => {
+      worker.fault = fault;
+    });
+  }
+
+  function runs(): number {
+    return world.apps.reduce((sum, app) => sum + app.runs.length, 0);
+  }
+
+  afterEach(async () => {
+    await world.close();
+  });
+
+  describe('a request that is served', () => {
+    it('reaches the server with path, query and body unchanged', async () => {
+      await start();
+      const result = await world.call({ id: 'r1', path: '/book/a%20b?x=1', body: 'words' });
+      expect(result).to.include({ status: 200, body: 'whole', isWhole: true });
+      const [run] = world.apps.flatMap((app) => app.runs);
+      expect(run).to.include({ path: '/book/a%20b?x=1', body: 'words' });
+    });
+
+    it('carries the time left and the server that is meant, and no header of the caller in their place', async () => {
+      await start();
+      const forged = {
+        'X-Expect-Instance': 'i-other',
+        'X-Hold': '1',
+        'Kv-From': '1.2.3.4:5/6',
+        'X-Request-Priority': '0',
+        'X-Pin-Ms': '9',
+        Connection: 'X-Secret',
+        'X-Secret': 'yes',
+        'X-Kept': 'kept',
+      };
+      await world.call({ id: 'r1', path: '/book/1', headers: forged });
+      const [run] = world.apps.flatMap((app) => app.runs);
+      const { headers } = run!;
+      expect(headers['x-expect-instance']).to.match(/^i-app-/);
+      expect(Number(headers['x-deadline-ms'])).to.be.within(1, 4000);
+      expect(headers).to.not.have.any.keys('x-hold', 'kv-from', 'x-pin-ms', 'x-secret');
+      expect(headers['x-kept']).to.equal('kept');
+    });
+
+    it('has its adapter loaded first where no engine holds it', async () => {
+      await start();
+      const headers = { 'X-Model': 'm/a1' };
+      const result = await world.call({ id: 'r1', path: '/draft/1', headers });
+      expect(result.status).to.equal(200);
+      expect(world.engine.orders).to.deep.equal(['load m/a1']);
+    });
+
+    it('runs on the version of its adapter that was declared last', async () => {
+      await start();
+      world.store.putRelease('m', 'a1', 3);
+      await world.logged(({ event }) => event === 'releaseTaken');
+      await world.call({ id: 'r1', path: '/draft/1', headers: { 'X-Model': 'm/a1' } });
+      expect(world.engine.adapters.get('a1')).to.equal(3);
+      expect(world.engine.runs[0]?.headers['x-expect-version']).to.equal('3');
+    });
+  });
+
+  describe('an engine with all places taken', () => {
+    it('unloads an adapter that no request uses and never holds more than its places', async () => {
+      await start();
+      for (const name of ['a1', 'a2', 'a3', 'a4']) {
+        let status = 0;
+        while (status !== 200) {
+          const headers = { 'X-Model': `m/${name}` };
+          status = (await world.call({ id: `r-${name}`, path: '/draft/1', headers })).status;
+        }
+        expect(world.engine.adapters.size).to.be.at.most(3);
+      }
+      expect(world.engine.orders.filter((order) => order.startsWith('unload'))).to.have.length(1);
+    });
+  });
+
+  describe('an answer that is not whole or not its own', () => {
+    const untrusted: readonly WorkerFault[] = ['foreign', 'reset', 'shed'];
+    untrusted.forEach((fault) => {
+      it(`is not passed on to a request that may run once (${fault})`, async () => {
+        await start();
+        setFault(fault);
+        const result = await world.call({ id: 'r1', path: '/book/1' });
+        expect(result).to.include({ status: 502, body: '' });
+        expect(result.headers).to.not.have.property('x-response-stamp');
+        expect(runs()).to.equal(1);
+      });
+    });
+
+    const cut: readonly WorkerFault[] = ['torn', 'short', 'reset-unframed'];
+    cut.forEach((fault) => {
+      it(`does not look whole to the caller (${fault})`, async () => {
+        await start();
+        setFault(fault);
+        const result = await world.call({ id: 'r1', path: '/book/1' }).catch(() => undefined);
+        expect(result?.isWhole ?? false).to.equal(false);
+        expect(runs()).to.equal(1);
+      });
+    });
+
+    it('is whole without a length when its connection ends in order', async () => {
+      await start();
+      setFault('unframed');
+      const result = await world.call({ id: 'r1', path: '/book/1' });
+      expect(result).to.include({ status: 200, body: 'whole', isWhole: true });
+    });
+
+    it('never comes from the request before on the same connection', async () => {
+      await start();
+      setFault('extra');
+      for (let number = 0; number < 6; number += 1) {
+        const result = await world.call({ id: `r${number}`, path: '/book/1' });
+        expect(result).to.include({ status: 200, body: 'whole' });
+        expect(result.headers['x-request-id']).to.equal(`r${number}`);
+      }
+    });
+  });
+
+  describe('a request that a server did not run', () => {
+    it('goes to another server', async () => {
+      await start();
+      world.apps[0]!.fault = 'not-run';
+      for (let number = 0; number < 3; number += 1) {
+        const result = await world.call({ id: `r${number}`, path: '/book/1' });
+        expect(result.status).to.equal(200);
+      }
+      expect(world.apps[0]!.runs).to.have.length(0);
+    });
+
+    it('is refused with the time to come back where all servers say so', async () => {
+      await start();
+      setFault('not-run');
+      const result = await world.call({ id: 'r1', path: '/book/1' });
+      expect(result.status).to.equal(503);
+      expect(Number(result.headers['retry-after'])).to.be.greaterThan(0);
+      expect(runs()).to.equal(0);
+    });
+
+    it('is refused at once where no server is listed', async () => {
+      await start();
+      ['i-app-1', 'i-app-2'].forEach((id) => world.store.removeServer(id));
+      await world.logged(
+        ({ fields }) => fields['change'] === 'left' && fields['server'] === 'i-app-2',
+      );
+      const result = await world.call({ id: 'r1', path: '/book/1' });
+      expect(result.status).to.equal(503);
+    });
+  });
+
+  describe('a request that may run more than once', () => {
+    it('is sent again when its server fails', async () => {
+      await start();
+      world.apps[0]!.fault = 'error';
+      for (let number = 0; number < 4; number += 1) {
+        const result = await world.call({ id: `r${number}`, path: '/look/1', method: 'GET' });
+        expect(result.status).to.equal(200);
+      }
+    });
+
+    it('is answered with the failure of its last server, unchanged', async () => {
+      await start();
+      setFault('error');
+      const result = await world.call({ id: 'r1', path: '/look/1', method: 'GET' });
+      expect(result.status).to.equal(500);
+      expect(result.headers).to.have.property('x-response-stamp');
+      expect(runs()).to.equal(2);
+    });
+  });
+
+  describe('a final answer', () => {
+    it("comes at the route's timeout when the server is silent", async () => {
+      await start({ timeoutMs: 300 });
+      setFault('silent');
+      const result = await world.call({ id: 'r1', path: '/book/1' });
+      expect(result.status).to.equal(504);
+    });
+
+    it('is 503 with the time to come back while no configuration is known', async () => {
+      await start({ hasDeployment: false });
+      const result = await world.call({ id: 'r1', path: '/book/1' });
+      expect(result.status).to.equal(503);
+      expect(Number(result.headers['retry-after'])).to.be.greaterThan(0);
+    });
+
+    it('is 404 where no route matches', async () => {
+      await start();
+      expect((await world.call({ id: 'r1', path: '/other/1' })).status).to.equal(404);
+    });
+
+    it('is 413 where the body is longer than the limit', async () => {
+      await start();
+      const result = await world
+        .call({ id: 'r1', path: '/book/1', body: 'x'.repeat(70_000) })
+        .catch(() => undefined);
+      if (result !== undefined) expect(result.status).to.equal(413);
+      expect(runs()).to.equal(0);
+    });
+  });
+
+  describe('a caller that leaves', () => {
+    it('has its work at the server broken off', async () => {
+      await start();
+      setFault('silent');
+      const broken = new Promise<void>((resolve) => {
+        world.apps.forEach((app) => {
+          app.onBrokenOff = resolve;
+        });
+      });
+      const leaving = new AbortController();
+      const call = world.call({ id: 'r1', path: '/book/1', signal: leaving.signal });
+      const watching = setInterval(() => {
+        if (runs() > 0) leaving.abort();
+      }, 5);
+      await call.catch(() => undefined);
+      clearInterval(watching);
+      await broken;
+    });
+  });
+
+  describe('the configuration', () => {
+    it('is taken when it changes and never goes back', async () => {
+      await start();
+      world.store.putDeployment({
+        ...(sampleDeployment({ version: 9 }) as Record<string, unknown>),
+        routes: [],
+      });
+      await world.logged(({ fields }) => fields['version'] === 9);
+      world.store.putDeployment(sampleDeployment({ version: 8 }));
+      await world.logged(({ event }) => event === 'deploymentOld');
+      expect((await world.call({ id: 'r1', path: '/book/1' })).status).to.equal(404);
+    });
+
+    it('stays in force while the store is away, and is read anew when its history is gone', async () => {
+      await start();
+      world.store.mode = 'busy';
+      await world.logged(({ event }) => event === 'storeDown');
+      expect((await world.call({ id: 'r1', path: '/book/1' })).status).to.equal(200);
+      world.store.putDeployment(sampleDeployment({ version: 12 }));
+      world.store.compact();
+      world.store.mode = 'sound';
+      await world.logged(({ fields }) => fields['version'] === 12);
+    });
+
+    it('is kept when a record cannot be read', async () => {
+      await start();
+      world.store.putDeployment('not json');
+      world.store.putServer('i-odd', { service: 4 });
+      await world.logged(({ fields }) => fields['key'] === 'servers/i-odd');
+      await world.logged(({ event }) => event === 'recordUnreadable');
+      expect((await world.call({ id: 'r1', path: '/book/1' })).status).to.equal(200);
+    });
+  });
+});
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -19,7 +19,11 @@
 import { dialWebSocket, realClock } from '../../transport/mod.ts';
 
 /** A process that serves until it is told to leave. */
-export type Running = { readonly leave: () => Promise<void> };
+export type Running = {
+  /** The port on which callers are served; 0 on a process that takes none. */
+  readonly callerPort: number;
+  readonly leave: () => Promise<void>;
+};
 
 /** Limits until the operator's configuration is known. */
 const FIRST_LIMITS = {
@@ -131,15 +135,19 @@
   gateway.start();
   tasks.forEach((task) => task.start());
   return {
+    callerPort: server.port,
     leave: async () => {
       const endAt = performance.now() + settings.graceMs - BREAK_OFF_MS;
       isLeaving = true;
       server.leave();
-      await sleep(SERVE_ON_MS);
+      await sleep(Math.min(SERVE_ON_MS, settings.graceMs / 2));
       gateway.refuseNew();
       while (server.open > 0 && performance.now() < endAt) await sleep(50);
-      server.closeIdle();
       server.abort();
+      readiness.server?.close();
+      gateway.close();
+      tasks.forEach((task) => task.close());
+      await store.close();
     },
   };
 }
--- a/programs/serving/startKeeper.ts
+++ b/programs/serving/startKeeper.ts
@@ -27,6 +27,7 @@
   );
   keeper.start();
   return {
+    callerPort: 0,
     leave: async () => {
       keeper.close();
       await listener.close();
--- /dev/null
+++ b/programs/serving/testing/servingWorld.ts
@@ -0,0 +1,168 @@
+import { request as httpRequest } from 'node:http';
+import { createServer } from 'node:net';
+import type { Log, LogEventName, LogFields } from '../../../log/mod.ts';
+import type { ProcessSettings } from '../../../platform/mod.ts';
+import { sampleDeployment, StoreStandin, WorkerStandin } from '../../../platform/testing/mod.ts';
+import type { SampleOptions } from '../../../platform/testing/mod.ts';
+import { startGateway } from '../startGateway.ts';
+import type { Running } from '../startGateway.ts';
+import { startKeeper } from '../startKeeper.ts';
+
+/** What a caller got. */
+export type CallerResult = {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** Whether the answer ended as a whole one. */
+  readonly isWhole: boolean;
+};
+
+/** One line of the log. */
+export type LogLine = { readonly event: LogEventName; readonly fields: LogFields };
+
+/** The processes and stand-ins of one test, on loopback. */
+export type ServingWorld = {
+  readonly store: StoreStandin;
+  readonly engine: WorkerStandin;
+  readonly apps: readonly WorkerStandin[];
+  readonly gateway: Running;
+  readonly lines: readonly LogLine[];
+  /** Sends a request; resolves once its answer has ended, whole or not. */
+  readonly call: (call: CallerCall) => Promise<CallerResult>;
+  /** Resolves once a line of the log fits. */
+  readonly logged: (fits: (line: LogLine) => boolean) => Promise<LogLine>;
+  readonly close: () => Promise<void>;
+};
+
+/** A request of a test's caller. */
+export type CallerCall = {
+  readonly id: string;
+  readonly path: string;
+  /** @default 'POST' */
+  readonly method?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  /** Leaves once it is aborted. */
+  readonly signal?: AbortSignal;
+};
+
+/** How to build a `ServingWorld`. */
+export type ServingWorldOptions = SampleOptions & {
+  /** Whether the operator's configuration is there from the start. @default true */
+  readonly hasDeployment?: boolean;
+  /** @default 2000 */
+  readonly graceMs?: number;
+};
+
+const ENGINE_IP = '127.0.0.2';
+
+function freePort(): Promise<number> {
+  return new Promise((resolve) => {
+    const server = createServer().listen(0, ENGINE_IP, () => {
+      const bound = server.address();
+      server.close(() => resolve(typeof bound === 'object' && bound !== null ? bound.port : 0));
+    });
+  });
+}
+
+function collectLog(): Pick<ServingWorld, 'lines' | 'logged'> & { readonly log: Log } {
+  const lines: LogLine[] = [];
+  let waiting: (() => void)[] = [];
+  const log: Log = (event, fields = {}) => {
+    lines.push({ event, fields });
+    const wake = waiting;
+    waiting = [];
+    wake.forEach((run) => run());
+  };
+  const logged: ServingWorld['logged'] = async (fits) => {
+    for (;;) {
+      const line = lines.find(fits);
+      if (line !== undefined) return line;
+      await new Promise<void>((resolve) => {
+        waiting.push(resolve);
+      });
+    }
+  };
+  return { lines, log, logged };
+}
+
+function callGateway(port: number, call: CallerCall): Promise<CallerResult> {
+  const { id, path, method = 'POST', headers = {}, body = '', signal } = call;
+  return new Promise((resolve, reject) => {
+    const request = httpRequest(
+      {
+        host: '127.0.0.1',
+        port,
+        path,
+        method,
+        agent: false,
+        headers: { host: 'house.example', 'x-request-id': id, 'x-deadline-ms': '4000', ...headers },
+        ...(signal === undefined ? {} : { signal }),
+      },
+      (response) => {
+        const pieces: Buffer[] = [];
+        response.on('data', (piece: Buffer) => pieces.push(piece));
+        response.on('error', () => undefined);
+        response.once('close', () => {
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(pieces).toString('utf8'),
+            isWhole: response.complete,
+          });
+        });
+      },
+    );
+    request.once('error', reject);
+    request.end(body);
+  });
+}
+
+/** Starts a gateway, a keeper, an engine, two plain servers and a store on loopback. */
+export async function startServingWorld(options: ServingWorldOptions = {}): Promise<ServingWorld> {
+  const { hasDeployment = true, graceMs = 2000 } = options;
+  const store = new StoreStandin();
+  const storeAddress = await store.listen();
+  const engine = new WorkerStandin({ id: 'i-engine', ip: ENGINE_IP, model: 'm' });
+  const apps = ['i-app-1', 'i-app-2'].map((id) => new WorkerStandin({ id }));
+  await Promise.all([engine, ...apps].map((worker) => worker.listen()));
+  if (hasDeployment) store.putDeployment(sampleDeployment(options));
+  store.putServer('i-engine', engine.record('llm'));
+  apps.forEach((app, index) => store.putServer(`i-app-${index + 1}`, app.record('app')));
+  const { lines, log, logged } = collectLog();
+  const settings: ProcessSettings = {
+    host: 'h1',
+    ip: '127.0.0.1',
+    availabilityZone: 'z1',
+    callerAddress: '127.0.0.1:0',
+    readinessAddress: '127.0.0.1:0',
+    linkPort: await freePort(),
+    seeds: [],
+    storeAddress,
+    graceMs,
+    retryShare: 0.2,
+    retryWindowMs: 10_000,
+  };
+  const keeper = await startKeeper(
+    { ...settings, host: 'h2', ip: ENGINE_IP, backendAddress: engine.address },
+    log,
+  );
+  const gateway = await startGateway(settings, log);
+  if (hasDeployment) {
+    await logged(({ event }) => event === 'keeperReady');
+    await logged(({ fields }) => fields['server'] === 'i-app-2');
+  }
+  return {
+    store,
+    engine,
+    apps,
+    gateway,
+    lines,
+    logged,
+    call: (call) => callGateway(gateway.callerPort, call),
+    close: async () => {
+      await Promise.all([gateway.leave(), keeper.leave()]);
+      await Promise.all([store, engine, ...apps].map((part) => part.close()));
+    },
+  };
+}
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -30,6 +30,8 @@
   pieceAt: Milliseconds;
   /** The longest time between two pieces of the answer. */
   longestPauseMs: Milliseconds;
+  /** Whether the request was sent and has had no byte of its answer. */
+  isStarting: boolean;
   /** Whether the request waits for an adapter at `view`. */
   isAwaiting: boolean;
   awaitingSince: Milliseconds;
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -70,6 +70,12 @@
     this.#fleet.expire(this.#options.clock.now()).forEach((change) => this.#applyChange(change));
   }
 
+  /** Closes all connections. */
+  close(): void {
+    this.#links.closeAll();
+    this.#connections.forEach((connections) => connections.close());
+  }
+
   /** Tells all keepers what their engines can hold. */
   openLinks(): void {
     this.#views.forEach(({ server }) => this.#openLink(server));
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -1,6 +1,6 @@
 import type { CallerRequest } from '../../carriage/mod.ts';
 import { Ejection, RetryBudget } from '../../core/admission/mod.ts';
-import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
+import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import { chooseServer, nextStep } from '../../core/dispatch/mod.ts';
 import type { SendingEnd, ServerView } from '../../core/dispatch/mod.ts';
 import { DONE, failed, unknown } from '../../core/outcome/mod.ts';
@@ -45,8 +45,14 @@
 /** Share of the objective for which a request may wait for an adapter's load. */
 const LOAD_WAIT_SHARE = 0.9;
 
-/** Time for which callers stay away while this process knows no deployment. */
-const STARTING_RETRY_MS: Milliseconds = 500;
+/** Time for which callers stay away while this process knows no deployment; the store may be down. */
+const STARTING_RETRY_MS: Milliseconds = 1200;
+
+/** Time for which callers stay away from a process that leaves; others serve them at once. */
+const LEAVING_RETRY_MS: Milliseconds = 50;
+
+/** Share of the time left to a caller for which it stays away when told to. */
+const HEEDED_SHARE = 0.32;
 
 /** Time between looks at silent keepers and lapsed servers. */
 const TICK_MS: Milliseconds = 150;
@@ -61,6 +67,13 @@
 
 const SERVER_ERROR_STATUS = 500;
 
+/** Notes that a server has begun to answer, or that it will not. */
+function noteBegun(request: OpenRequest): void {
+  if (!request.isStarting) return;
+  request.isStarting = false;
+  if (request.view !== undefined) request.view.starting -= 1;
+}
+
 /** Serves callers' requests: chooses servers, sends, sends again, answers. */
 export class Gateway {
   readonly #options: GatewayOptions;
@@ -77,6 +90,8 @@
 
   #deployment: Deployment | undefined;
 
+  #cancelTick: Cancellation | undefined;
+
   #isRefusing = false;
 
   constructor(options: GatewayOptions) {
@@ -111,12 +126,18 @@
 
   /** Begins to watch keepers. */
   start(): void {
-    this.#options.clock.schedule(TICK_MS, () => {
+    this.#cancelTick = this.#options.clock.schedule(TICK_MS, () => {
       this.#table.tick();
       this.start();
     });
   }
 
+  /** Closes all connections. */
+  close(): void {
+    this.#cancelTick?.();
+    this.#table.close();
+  }
+
   /** Refuses every new request from now on. */
   refuseNew(): void {
     this.#isRefusing = true;
@@ -149,7 +170,8 @@
     const { clock } = this.#options;
     const deployment = this.#deployment;
     if (deployment === undefined || this.#isRefusing) {
-      answerOwn(caller, 503, STARTING_RETRY_MS);
+      const retryMs = this.#isRefusing ? LEAVING_RETRY_MS : STARTING_RETRY_MS;
+      answerOwn(caller, 503, this.#retryAfter(retryMs, head.deadlineMs));
       this.#logEnd(head.requestId, 'starting', { isLeaving: this.#isRefusing });
       return;
     }
@@ -180,6 +202,7 @@
       firstByteMs: undefined,
       pieceAt: 0,
       longestPauseMs: 0,
+      isStarting: false,
       isAwaiting: false,
       awaitingSince: 0,
       isOver: false,
@@ -226,6 +249,7 @@
         minVersion: this.#minVersion(modelName),
         batchWidth: engine?.batchWidth ?? 1,
         maxLoadWaitMs,
+        now: this.#options.clock.now(),
         availabilityZone: this.#options.availabilityZone,
       },
       this.#viewsOf(service, request.tried),
@@ -268,6 +292,8 @@
     request.isAwaiting = false;
     request.sendingNumber = number;
     request.sentAt = now;
+    request.isStarting = true;
+    view.starting += 1;
     this.#table.noteSent(view, head.modelName);
     const version = this.#minVersion(head.modelName);
     const isCurrent = (): boolean => !request.isOver && request.sendingNumber === number;
@@ -302,6 +328,7 @@
           }
           answering.state = 'passing';
           view.noteFirstByte(clock.now() - request.sentAt);
+          noteBegun(request);
           caller.answer.begin(status, statusText, answer.passedOn);
           return true;
         },
@@ -334,8 +361,13 @@
 
   #notePiece(request: OpenRequest): void {
     const now = this.#options.clock.now();
-    if (request.firstByteMs === undefined) request.firstByteMs = now - request.acceptedAt;
-    else request.longestPauseMs = Math.max(request.longestPauseMs, now - request.pieceAt);
+    if (request.firstByteMs === undefined) {
+      request.firstByteMs = now - request.acceptedAt;
+    } else {
+      const pauseMs = now - request.pieceAt;
+      request.longestPauseMs = Math.max(request.longestPauseMs, pauseMs);
+      if (request.route.isStream) request.view?.notePause(pauseMs, now);
+    }
     request.pieceAt = now;
   }
 
@@ -384,11 +416,14 @@
   #finishSending(request: OpenRequest, end: SendingEnd, detail: string): void {
     const { clock, log } = this.#options;
     const { view, head, route } = request;
+    noteBegun(request);
     if (view !== undefined) {
       this.#table.noteEnded(view, head.modelName);
       request.tried.add(view.server.id);
-      if (end === 'unknown') this.#ejection.note(view.server.id, unknown('reply-lost', ''), clock.now());
-      if (end === 'failed') this.#ejection.note(view.server.id, failed('backend-error', ''), clock.now());
+      if (end === 'unknown')
+        this.#ejection.note(view.server.id, unknown('reply-lost', ''), clock.now());
+      if (end === 'failed')
+        this.#ejection.note(view.server.id, failed('backend-error', ''), clock.now());
     }
     request.view = undefined;
     request.sending = undefined;
@@ -446,13 +481,20 @@
     }
   }
 
+  /** Spreads the return of callers, and keeps it within what they heed: a third of their time. */
+  #retryAfter(retryMs: Milliseconds, leftMs: Milliseconds = DEFAULT_TIME_MS): Milliseconds {
+    const spread = retryMs * (1 + this.#options.random() / 2);
+    return Math.max(0, Math.min(spread, leftMs * HEEDED_SHARE));
+  }
+
   #refuse(request: OpenRequest, reason: string, retryAfterMs: Milliseconds): void {
     if (request.mayHaveRun > 0 && request.route.repeatability === 'once') {
       answerOwn(request.caller, 502);
       this.#end(request, 'unknown', { reason });
       return;
     }
-    answerOwn(request.caller, 503, retryAfterMs * (1 + this.#options.random() / 2));
+    const leftMs = request.dueAt - this.#options.clock.now();
+    answerOwn(request.caller, 503, this.#retryAfter(retryAfterMs, leftMs));
     this.#end(request, 'refused', { reason });
   }
 
@@ -462,6 +504,7 @@
     request.cancelTimers.forEach((cancel) => cancel());
     this.#open.delete(request);
     const { view, head, sending } = request;
+    noteBegun(request);
     if (sending !== undefined && view !== undefined) {
       if (end !== 'answered') sending.abort();
       this.#table.noteEnded(view, head.modelName);
--- a/tasks/gateway/keeperLinks.ts
+++ b/tasks/gateway/keeperLinks.ts
@@ -81,6 +81,11 @@
     link?.connection?.close();
   }
 
+  /** Closes all links. */
+  closeAll(): void {
+    [...this.#links.keys()].forEach((address) => this.close(address));
+  }
+
   /** Asks a keeper for an adapter. */
   want(address: string, name: ModelName, version: number, waitMs: Milliseconds): void {
     this.#send(address, { kind: 'want', name, version, waitMs });
