Entries teach each other; answers without a length stay without one

Such answers now go out as they came, without a length, on a connection that ends with them; broken answers end in a reset. Gossip between entries brings copies of the store's records forward, so one that the store turns away, or that starts while it is down, serves.

--- a/carriage/mod.ts
+++ b/carriage/mod.ts
@@ -9,6 +9,7 @@
 export { CallerServer } from './callerServer.ts';
 export type {
   CallerAnswer,
+  CallerAnswerHead,
   CallerRequest,
   CallerServerLimits,
   CallerServerOptions,
--- /dev/null
+++ b/core/dispatch/nextStep.test.ts
@@ -0,0 +1,55 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { nextStep } from './mod.ts';
+import type { RequestHistory, SendingEnd } from './mod.ts';
+
+const FIRST: RequestHistory = {
+  repeatability: 'once',
+  mayHaveRun: 0,
+  notRun: 0,
+  maxAttempts: 2,
+  isLate: false,
+};
+
+describe('nextStep', () => {
+  it('never sends again what may run once and may have run', () => {
+    const ends = fc.constantFrom<SendingEnd>('unknown', 'failed');
+    fc.assert(
+      fc.property(ends, fc.nat(5), fc.nat(5), fc.boolean(), (end, ran, notRun, isLate) => {
+        const history = { ...FIRST, mayHaveRun: ran + 1, notRun, isLate };
+        expect(nextStep(end, history)).to.not.equal('again');
+      }),
+      { seed: 5 },
+    );
+  });
+
+  it('never refuses as not run what may run once and may have run', () => {
+    const ends = fc.constantFrom<SendingEnd>('unknown', 'failed', 'not-run', 'not-sent');
+    fc.assert(
+      fc.property(ends, fc.nat(5), fc.boolean(), (end, notRun, isLate) => {
+        const history = { ...FIRST, mayHaveRun: 1, notRun, isLate };
+        expect(nextStep(end, history)).to.not.equal('refuse');
+      }),
+      { seed: 6 },
+    );
+  });
+
+  it('sends elsewhere what did not run, a few times', () => {
+    expect(nextStep('not-run', { ...FIRST, notRun: 1 })).to.equal('again');
+    expect(nextStep('not-sent', { ...FIRST, notRun: 2 })).to.equal('again');
+    expect(nextStep('not-run', { ...FIRST, notRun: 3 })).to.equal('refuse');
+  });
+
+  it('repeats what may be repeated only as often as its route allows', () => {
+    const safe: RequestHistory = { ...FIRST, repeatability: 'repeatable' };
+    expect(nextStep('failed', { ...safe, mayHaveRun: 1 })).to.equal('again');
+    expect(nextStep('failed', { ...safe, mayHaveRun: 2 })).to.equal('pass-on');
+    expect(nextStep('unknown', { ...safe, mayHaveRun: 2 })).to.equal('unknown');
+  });
+
+  it('starts nothing more once the time is over', () => {
+    const late: RequestHistory = { ...FIRST, repeatability: 'repeatable', isLate: true };
+    expect(nextStep('not-run', { ...late, notRun: 1 })).to.equal('refuse');
+    expect(nextStep('unknown', { ...late, mayHaveRun: 1 })).to.equal('unknown');
+  });
+});
--- a/core/serving/fleet.ts
+++ b/core/serving/fleet.ts
@@ -19,8 +19,8 @@
 /**
  * The backend servers that are published, by id.
  *
- * A record that is removed while the store is reachable names a server that has left. A list that is
- * read anew after the store was away may lack servers that are alive: these stay for `lapseGraceMs`
+ * A record that is removed while the store is reachable names a server that has left. Records that
+ * lapsed while the store was away may name servers that are alive: these stay for `lapseGraceMs`
  * unless their record returns.
  */
 export class Fleet {
@@ -58,20 +58,10 @@
     return server === undefined ? undefined : { kind: 'left', server };
   }
 
-  /** Takes a whole list; servers that it lacks stay for a moment. */
-  replace(
-    list: readonly BackendServer[],
-    now: Milliseconds,
-    isAfterOutage: boolean,
-  ): readonly FleetChange[] {
-    const listed = new Set(list.map(({ id }) => id));
-    const changes = list.map((server) => this.put(server));
-    for (const id of [...this.#servers.keys()]) {
-      if (listed.has(id)) continue;
-      if (!isAfterOutage) changes.push(this.remove(id));
-      else if (!this.#lapses.has(id)) this.#lapses.set(id, now + this.#lapseGraceMs);
-    }
-    return changes.filter((change) => change !== undefined);
+  /** Takes the removal of a record that may come back, since the store was away a moment ago. */
+  lapse(id: string, now: Milliseconds): void {
+    if (!this.#servers.has(id) || this.#lapses.has(id)) return;
+    this.#lapses.set(id, now + this.#lapseGraceMs);
   }
 
   /** Removes servers whose record has lapsed for too long. */
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -114,6 +114,11 @@
       ],
     },
   },
+  {
+    // Tests of the processes see the wire as callers and servers do.
+    files: ['programs/serving/**/*.test.ts', 'programs/serving/testing/*.ts'],
+    rules: { 'no-restricted-syntax': ['error', ...PLAIN_SYNTAX] },
+  },
   {
     files: ['platform/**/*.ts'],
     rules: {
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -200,6 +200,18 @@
     message: 'The store answers again',
     remedy: 'None needed',
   },
+  peerLost: {
+    number: 'HS8008',
+    level: 'warn',
+    message: 'Another entry is silent or gone',
+    remedy: 'None needed; look at its host if it stays silent',
+  },
+  peerTaught: {
+    number: 'HS8009',
+    level: 'info',
+    message: 'Another entry had newer records of the store',
+    remedy: 'None needed; look at the path to the store if it repeats',
+  },
   keeperReady: {
     number: 'HS8010',
     level: 'info',
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -1,6 +1,8 @@
 import { randomUUID } from 'node:crypto';
 import polka from 'polka';
 import { CallerServer } from '../../carriage/mod.ts';
+import { RecordMirror } from '../../core/mirror/mod.ts';
+import type { MirrorNews } from '../../core/mirror/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import {
   decodeAdapterRelease,
@@ -14,9 +16,9 @@
   StoreClient,
 } from '../../platform/mod.ts';
 import type { ProcessSettings, SocketAddress, StoreRecord } from '../../platform/mod.ts';
-import { Gateway, StoreTask } from '../../tasks/gateway/mod.ts';
-import type { StoreNews } from '../../tasks/gateway/mod.ts';
-import { dialWebSocket, realClock } from '../../transport/mod.ts';
+import { Gateway, PeerTask, StoreTask } from '../../tasks/gateway/mod.ts';
+import type { Mirrors } from '../../tasks/gateway/mod.ts';
+import { dialWebSocket, listenWebSocket, realClock } from '../../transport/mod.ts';
 
 /** A process that serves until it is told to leave. */
 export type Running = {
@@ -65,22 +67,21 @@
   }
 }
 
-function applyServers(gateway: Gateway, log: Log, news: StoreNews): void {
-  const servers = news.records.flatMap(({ key, value }) => {
-    const id = key.slice(SERVER_PREFIX.length);
-    if (value === undefined) return [];
-    const server = decodeBackendServer(id, value);
-    if (server === undefined) log('recordUnreadable', { key });
-    return server === undefined ? [] : [server];
-  });
-  if (news.kind === 'all') {
-    gateway.servers.replace(servers, news.isAfterOutage);
+function applyServerRecord(
+  gateway: Gateway,
+  log: Log,
+  record: StoreRecord,
+  mayReturn: boolean,
+): void {
+  const { key, value } = record;
+  const id = key.slice(SERVER_PREFIX.length);
+  if (value === undefined) {
+    gateway.servers.remove(id, mayReturn);
     return;
   }
-  servers.forEach((server) => gateway.servers.put(server));
-  news.records
-    .filter(({ value }) => value === undefined)
-    .forEach(({ key }) => gateway.servers.remove(key.slice(SERVER_PREFIX.length)));
+  const server = decodeBackendServer(id, value);
+  if (server === undefined) log('recordUnreadable', { key });
+  else gateway.servers.put(server);
 }
 
 function sleep(ms: number): Promise<void> {
@@ -89,6 +90,36 @@
   });
 }
 
+/** Starts gossip with the other entries, on hosts that have an address for it. */
+async function startPeers(
+  settings: ProcessSettings,
+  log: Log,
+  mirrors: Mirrors,
+  take: (prefix: string, news: MirrorNews, mayReturn: boolean) => boolean,
+): Promise<{ readonly close: () => Promise<void> }> {
+  const { peerAddress, seeds } = settings;
+  if (peerAddress === undefined) return { close: () => Promise.resolve() };
+  const peers = new PeerTask({
+    address: peerAddress,
+    seeds,
+    mirrors,
+    clock: realClock,
+    dial: dialWebSocket,
+    log,
+    tell: (prefix, news) => {
+      if (take(prefix, news, true)) log('peerTaught', { prefix, asOf: news.asOf });
+    },
+  });
+  const listener = await listenWebSocket(splitAddress(peerAddress), peers.accept);
+  peers.start();
+  return {
+    close: () => {
+      peers.close();
+      return listener.close();
+    },
+  };
+}
+
 /** Starts the process that serves callers. */
 export async function startGateway(settings: ProcessSettings, log: Log): Promise<Running> {
   const store = new StoreClient(settings.storeAddress);
@@ -108,23 +139,30 @@
     handle: (request) => gateway.handle(request),
   });
   let isLeaving = false;
-  const shared = { store, clock: realClock, log, random: Math.random };
-  const tasks = [
-    new StoreTask({
-      ...shared,
-      prefix: OPERATOR_PREFIX,
-      tell: ({ records }) => {
-        records.forEach((record) => applyOperatorRecord(gateway, log, record));
-        if (gateway.deployment !== undefined) server.applyLimits(gateway.deployment.callerLimits);
-      },
-    }),
-    new StoreTask({
-      ...shared,
-      prefix: SERVER_PREFIX,
-      paceMs: SERVERS_PACE_MS,
-      tell: (news) => applyServers(gateway, log, news),
-    }),
-  ];
+  const mirrors = new Map([OPERATOR_PREFIX, SERVER_PREFIX].map((key) => [key, new RecordMirror()]));
+  const take = (prefix: string, news: MirrorNews, mayReturn: boolean): boolean => {
+    const changed = mirrors.get(prefix)?.apply(news) ?? [];
+    changed.forEach((record) => {
+      if (prefix === SERVER_PREFIX) applyServerRecord(gateway, log, record, mayReturn);
+      else applyOperatorRecord(gateway, log, record);
+    });
+    if (gateway.deployment !== undefined) server.applyLimits(gateway.deployment.callerLimits);
+    return changed.length > 0;
+  };
+  const tasks = [...mirrors].map(
+    ([prefix, mirror]) =>
+      new StoreTask({
+        store,
+        prefix,
+        mirror,
+        clock: realClock,
+        log,
+        random: Math.random,
+        paceMs: prefix === SERVER_PREFIX ? SERVERS_PACE_MS : 0,
+        tell: (news, mayReturn) => take(prefix, news, mayReturn),
+      }),
+  );
+  const peers = await startPeers(settings, log, mirrors, take);
   const readiness = polka().get(READINESS_PATH, (_request, response) => {
     response.statusCode = gateway.isReady && !isLeaving ? OK_STATUS : NOT_READY_STATUS;
     response.end();
@@ -147,7 +185,7 @@
       readiness.server?.close();
       gateway.close();
       tasks.forEach((task) => task.close());
-      await store.close();
+      await Promise.all([store.close(), peers.close()]);
     },
   };
 }
--- a/programs/serving/testing/servingWorld.ts
+++ b/programs/serving/testing/servingWorld.ts
@@ -1,3 +1,4 @@
+import { EventEmitter, once } from 'node:events';
 import { request as httpRequest } from 'node:http';
 import { createServer } from 'node:net';
 import type { Log, LogEventName, LogFields } from '../../../log/mod.ts';
@@ -67,20 +68,16 @@
 
 function collectLog(): Pick<ServingWorld, 'lines' | 'logged'> & { readonly log: Log } {
   const lines: LogLine[] = [];
-  let waiting: (() => void)[] = [];
+  const news = new EventEmitter();
   const log: Log = (event, fields = {}) => {
     lines.push({ event, fields });
-    const wake = waiting;
-    waiting = [];
-    wake.forEach((run) => run());
+    news.emit('line');
   };
   const logged: ServingWorld['logged'] = async (fits) => {
     for (;;) {
       const line = lines.find(fits);
       if (line !== undefined) return line;
-      await new Promise<void>((resolve) => {
-        waiting.push(resolve);
-      });
+      await once(news, 'line');
     }
   };
   return { lines, log, logged };
@@ -150,7 +147,7 @@
   const gateway = await startGateway(settings, log);
   if (hasDeployment) {
     await logged(({ event }) => event === 'keeperReady');
-    await logged(({ fields }) => fields['server'] === 'i-app-2');
+    await logged(({ fields }) => fields.server === 'i-app-2');
   }
   return {
     store,
--- a/tasks/gateway/_answerOwn.ts
+++ b/tasks/gateway/_answerOwn.ts
@@ -24,6 +24,11 @@
     retryAfterMs === undefined
       ? []
       : ['Retry-After', (retryAfterMs / MILLISECONDS_IN_SECOND).toFixed(2)];
-  caller.answer.begin(status, STATUS_TEXT[status] ?? '', ['Content-Length', '0', ...retry]);
+  caller.answer.begin({
+    status,
+    statusText: STATUS_TEXT[status] ?? '',
+    headers: ['Content-Length', '0', ...retry],
+    isFramed: true,
+  });
   caller.answer.end();
 }
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -88,20 +88,20 @@
     if (change !== undefined) this.#applyChange(change);
   }
 
-  /** Takes the removal of a published server. */
-  remove(id: string): void {
+  /**
+   * Takes the removal of a published server.
+   *
+   * @param mayReturn Whether the record may come back, since the store was away a moment ago.
+   */
+  remove(id: string, mayReturn: boolean): void {
+    if (mayReturn) {
+      this.#fleet.lapse(id, this.#options.clock.now());
+      return;
+    }
     const change = this.#fleet.remove(id);
     if (change !== undefined) this.#applyChange(change);
   }
 
-  /** Takes the whole list of published servers. */
-  replace(list: readonly BackendServer[], isAfterOutage: boolean): void {
-    list.forEach((server) => this.#renew(server));
-    this.#fleet
-      .replace(list, this.#options.clock.now(), isAfterOutage)
-      .forEach((change) => this.#applyChange(change));
-  }
-
   /** Asks the keeper of a server for an adapter. */
   want(view: ServerView, name: ModelName, version: number, waitMs: Milliseconds): void {
     this.#links.want(this.#keeperAddress(view.server), name, version, waitMs);
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -1,8 +1,13 @@
 import type { CallerRequest } from '../../carriage/mod.ts';
 import { Ejection, RetryBudget } from '../../core/admission/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
-import { chooseServer, nextStep } from '../../core/dispatch/mod.ts';
-import type { SendingEnd, ServerView } from '../../core/dispatch/mod.ts';
+import {
+  chooseServer,
+  judgeAnswer,
+  MISDIRECTED_STATUS,
+  nextStep,
+} from '../../core/dispatch/mod.ts';
+import type { AnswerVerdict, SendingEnd, ServerView } from '../../core/dispatch/mod.ts';
 import { DONE, failed, unknown } from '../../core/outcome/mod.ts';
 import { selectRoute, selectService } from '../../core/serving/mod.ts';
 import type { Deployment, ModelName, Service } from '../../core/serving/mod.ts';
@@ -60,13 +65,6 @@
 /** Time without an answer's head, in objectives, after which what may be repeated is sent again. */
 const SILENT_OBJECTIVES = 1;
 
-/** Statuses that promise that a request has not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-
-const MISDIRECTED_STATUS = 421;
-
-const SERVER_ERROR_STATUS = 500;
-
 /** Notes that a server has begun to answer, or that it will not. */
 function noteBegun(request: OpenRequest): void {
   if (!request.isStarting) return;
@@ -316,20 +314,21 @@
         head: (status, headers, statusText) => {
           if (!isCurrent()) return false;
           const answer = decodeAnswerHead(headers);
-          const end = this.#judgeHead(request, status, answer);
-          if (end === 'foreign') {
+          const verdict = this.#judgeHead(request, status, answer);
+          if (verdict === 'foreign') {
             this.#finishSending(request, 'unknown', `answer of another request, ${status}`);
             return false;
           }
-          if (end !== undefined) {
-            dropped = end;
+          if (verdict !== 'pass-on') {
+            dropped = verdict;
             answering.state = 'dropping';
             return true;
           }
           answering.state = 'passing';
           view.noteFirstByte(clock.now() - request.sentAt);
           noteBegun(request);
-          caller.answer.begin(status, statusText, answer.passedOn);
+          const { passedOn, isFramed } = answer;
+          caller.answer.begin({ status, statusText, headers: passedOn, isFramed });
           return true;
         },
         data: (piece) => {
@@ -388,28 +387,17 @@
     );
   }
 
-  /** Tells what an answer's head means; `undefined` when the answer is passed on. */
-  #judgeHead(
-    request: OpenRequest,
-    status: number,
-    answer: AnswerHead,
-  ): SendingEnd | 'foreign' | undefined {
-    if (answer.requestId !== undefined && answer.requestId !== request.head.requestId) {
-      return 'foreign';
-    }
-    if (answer.isNotRun || status === MISDIRECTED_STATUS) {
-      if (status === MISDIRECTED_STATUS && request.head.modelName !== undefined) {
-        request.view?.noteLacking(request.head.modelName, this.#options.clock.now());
-      }
-      return 'not-run';
+  /** Tells what an answer's head means. */
+  #judgeHead(request: OpenRequest, status: number, answer: AnswerHead): AnswerVerdict {
+    const { head, route, mayHaveRun, view } = request;
+    const { repeatability, maxAttempts } = route;
+    if (status === MISDIRECTED_STATUS && head.modelName !== undefined) {
+      view?.noteLacking(head.modelName, this.#options.clock.now());
     }
-    if (status < 300 && (!answer.hasProof || answer.isEncoded)) return 'foreign';
-    if (status < SERVER_ERROR_STATUS && !NOT_RUN_STATUSES.has(status)) return undefined;
-    const mayRepeat =
-      request.route.repeatability !== 'once' && request.mayHaveRun + 1 < request.route.maxAttempts;
-    if (mayRepeat) return 'failed';
-    // A status that promises "not run" is passed on only with the server's own word for it.
-    return NOT_RUN_STATUSES.has(status) ? 'unknown' : undefined;
+    return judgeAnswer(
+      { ...answer, status },
+      { requestId: head.requestId, repeatability, mayHaveRun, maxAttempts },
+    );
   }
 
   /** Decides what follows a sending that brought no whole answer. */
@@ -420,10 +408,12 @@
     if (view !== undefined) {
       this.#table.noteEnded(view, head.modelName);
       request.tried.add(view.server.id);
-      if (end === 'unknown')
+      if (end === 'unknown') {
         this.#ejection.note(view.server.id, unknown('reply-lost', ''), clock.now());
-      if (end === 'failed')
+      }
+      if (end === 'failed') {
         this.#ejection.note(view.server.id, failed('backend-error', ''), clock.now());
+      }
     }
     request.view = undefined;
     request.sending = undefined;
--- /dev/null
+++ b/tasks/gateway/peerTask.ts
@@ -0,0 +1,154 @@
+import { Packr } from 'msgpackr';
+import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
+import type { MirrorNews, RecordMirror } from '../../core/mirror/mod.ts';
+import { rendezvousOrder } from '../../core/placement/mod.ts';
+import type { Log } from '../../log/mod.ts';
+import { LiveLinks } from '../links/mod.ts';
+import type { Accept, Dial } from '../ports/mod.ts';
+
+/** The copies that entries compare, by what their keys begin with. */
+export type Mirrors = ReadonlyMap<string, RecordMirror>;
+
+/** How to build a `PeerTask`. */
+export type PeerTaskOptions = {
+  /** Where other entries reach this one. */
+  readonly address: string;
+  /** Addresses of entries that may be there at the start. */
+  readonly seeds: readonly string[];
+  readonly mirrors: Mirrors;
+  readonly clock: Clock;
+  readonly dial: Dial;
+  readonly log: Log;
+  /** Told of news that a peer has and the own copy lacks. */
+  readonly tell: (prefix: string, news: MirrorNews) => void;
+};
+
+/** What entries say to each other. */
+type PeerMessage =
+  | {
+      readonly kind: 'digest';
+      readonly address: string;
+      /** Known entries and the time since each was heard of. */
+      readonly members: readonly (readonly [string, Milliseconds])[];
+      /** Revisions of the copies, by prefix. */
+      readonly asOf: Readonly<Record<string, number | undefined>>;
+    }
+  | { readonly kind: 'news'; readonly prefix: string; readonly news: MirrorNews };
+
+/** Entries to which one entry keeps links; enough that all hear of a change within a few periods. */
+const LINKED_PEERS = 4;
+
+/** Time between digests. */
+const DIGEST_MS: Milliseconds = 400;
+
+/** Time after which an entry that was not heard of is forgotten. */
+const FORGET_MS: Milliseconds = 20_000;
+
+const packr = new Packr({ useRecords: false });
+
+/**
+ * Gossip between entries: who there is, and whose copy of the store's records is the newest.
+ *
+ * An entry that the store turns away, or that starts while the store is down, so learns the
+ * configuration and the servers from the others.
+ */
+export class PeerTask {
+  readonly #options: PeerTaskOptions;
+
+  readonly #links: LiveLinks;
+
+  /** When each entry was last heard of. */
+  readonly #members = new Map<string, Milliseconds>();
+
+  #cancel: (() => void) | undefined;
+
+  constructor(options: PeerTaskOptions) {
+    this.#options = options;
+    this.#links = new LiveLinks({
+      clock: options.clock,
+      dial: options.dial,
+      opened: (address) => this.#links.send(address, this.#digest()),
+      received: (address, bytes) =>
+        this.#receive(bytes, (answer) => this.#links.send(address, answer)),
+      lost: (address, reason) => options.log('peerLost', { address, reason }),
+    });
+  }
+
+  /** Entries that are known, this one not counted. */
+  get members(): readonly string[] {
+    return [...this.#members.keys()];
+  }
+
+  /** Accepts links of other entries. */
+  readonly accept: Accept = (connection) => ({
+    opened: () => undefined,
+    received: (bytes) => this.#receive(bytes, (answer) => connection.send(answer), true),
+    closed: () => undefined,
+  });
+
+  /** Begins to gossip. */
+  start(): void {
+    this.#choose();
+    this.#links.tick();
+    const digest = this.#digest();
+    this.#links.addresses.forEach((address) => this.#links.send(address, digest));
+    this.#cancel = this.#options.clock.schedule(DIGEST_MS, () => this.start());
+  }
+
+  /** Ends all links. */
+  close(): void {
+    this.#cancel?.();
+    this.#links.closeAll();
+  }
+
+  /** Links to the entries that come first for this one; to the seeds while too few are known. */
+  #choose(): void {
+    const { address, seeds, clock } = this.#options;
+    const now = clock.now();
+    this.#members.forEach((heardAt, member) => {
+      if (now - heardAt > FORGET_MS) this.#members.delete(member);
+    });
+    const chosen = rendezvousOrder(address, [...this.#members.keys()]).slice(0, LINKED_PEERS);
+    const others = chosen.length < LINKED_PEERS ? seeds.filter((seed) => seed !== address) : [];
+    const wanted = new Set([...chosen, ...others]);
+    wanted.forEach((each) => this.#links.open(each));
+    this.#links.addresses
+      .filter((each) => !wanted.has(each))
+      .forEach((each) => this.#links.close(each));
+  }
+
+  #digest(): Uint8Array {
+    const { address, mirrors, clock } = this.#options;
+    const now = clock.now();
+    const message: PeerMessage = {
+      kind: 'digest',
+      address,
+      members: [...this.#members].map(([member, heardAt]) => [member, now - heardAt] as const),
+      asOf: Object.fromEntries([...mirrors].map(([prefix, mirror]) => [prefix, mirror.asOf])),
+    };
+    return packr.pack(message);
+  }
+
+  /** Takes a message; `isAccepted` where the other end dialled and so waits for a word. */
+  #receive(bytes: Uint8Array, answer: (bytes: Uint8Array) => void, isAccepted = false): void {
+    const message = packr.unpack(bytes) as PeerMessage;
+    if (message.kind === 'news') {
+      this.#options.tell(message.prefix, message.news);
+      return;
+    }
+    const { address, clock, mirrors } = this.#options;
+    const now = clock.now();
+    this.#members.set(message.address, now);
+    message.members.forEach(([member, ageMs]) => {
+      const known = this.#members.get(member) ?? -Infinity;
+      if (member !== address && ageMs < FORGET_MS) {
+        this.#members.set(member, Math.max(known, now - ageMs));
+      }
+    });
+    mirrors.forEach((mirror, prefix) => {
+      const news = mirror.newsSince(message.asOf[prefix]);
+      if (news !== undefined) answer(packr.pack({ kind: 'news', prefix, news }));
+    });
+    if (isAccepted) answer(this.#digest());
+  }
+}
--- a/tasks/gateway/storeTask.ts
+++ b/tasks/gateway/storeTask.ts
@@ -1,7 +1,8 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
+import type { MirrorNews, RecordMirror } from '../../core/mirror/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { StoreError } from '../../platform/mod.ts';
-import type { StoreReading, StoreRecord } from '../../platform/mod.ts';
+import type { StoreReading } from '../../platform/mod.ts';
 
 /** The calls of the store that the task makes. */
 export type RecordStore = {
@@ -14,27 +15,16 @@
   ) => Promise<StoreReading>;
 };
 
-/** What the task tells its owner. */
-export type StoreNews =
-  /** All records; `isAfterOutage` when the store did not answer for a while before. */
-  | {
-      readonly kind: 'all';
-      readonly records: readonly StoreRecord[];
-      readonly isAfterOutage: boolean;
-    }
-  | {
-      readonly kind: 'changes';
-      readonly records: readonly StoreRecord[];
-      readonly isAfterOutage: boolean;
-    };
-
 /** How to build a `StoreTask`. */
 export type StoreTaskOptions = {
   readonly store: RecordStore;
   readonly prefix: string;
+  /** The copy that is brought forward; its revision is where the next call goes on. */
+  readonly mirror: RecordMirror;
   readonly clock: Clock;
   readonly log: Log;
-  readonly tell: (news: StoreNews) => void;
+  /** Told of what the store says; `mayReturn` when removed records may come back. */
+  readonly tell: (news: MirrorNews, mayReturn: boolean) => void;
   /** A number from 0 to 1, which spreads the calls of many processes. */
   readonly random: () => number;
   /** Least time between two calls, in which changes gather; calls are paid for. @default 0 */
@@ -69,7 +59,8 @@
 export class StoreTask {
   readonly #options: StoreTaskOptions;
 
-  #revision: number | undefined;
+  /** Whether all records must be read, since the history that a watch needs is gone. */
+  #isHistoryGone = false;
 
   #failures = 0;
 
@@ -105,21 +96,17 @@
   }
 
   async #read(): Promise<void> {
-    const { store, prefix } = this.#options;
+    const { store, prefix, mirror, tell } = this.#options;
     const patienceMs = this.#failures % 3 === 2 ? LONG_PATIENCE_MS : PATIENCE_MS;
-    if (this.#revision === undefined) {
-      const { records, revision } = await store.readAll(prefix, patienceMs);
-      this.#succeed();
-      this.#revision = revision;
-      this.#options.tell({ kind: 'all', records, isAfterOutage: this.#isAfterOutage() });
-      return;
-    }
+    const since = this.#isHistoryGone ? undefined : mirror.asOf;
     const waitMs = this.#failures > 0 ? PROBE_MS : WATCH_MS;
-    const { records, revision } = await store.watch(prefix, this.#revision, waitMs, patienceMs);
+    const { records, revision } =
+      since === undefined
+        ? await store.readAll(prefix, patienceMs)
+        : await store.watch(prefix, since, waitMs, patienceMs);
     this.#succeed();
-    this.#revision = revision;
-    if (records.length === 0) return;
-    this.#options.tell({ kind: 'changes', records, isAfterOutage: this.#isAfterOutage() });
+    this.#isHistoryGone = false;
+    tell({ since, records, asOf: revision }, this.#isAfterOutage());
   }
 
   #isAfterOutage(): boolean {
@@ -136,7 +123,7 @@
 
   #fail(error: unknown): void {
     const { clock, log, prefix, random } = this.#options;
-    if (error instanceof StoreError && error.isHistoryGone) this.#revision = undefined;
+    if (error instanceof StoreError && error.isHistoryGone) this.#isHistoryGone = true;
     this.#failures += 1;
     if (this.#failures === 1) log('storeDown', { prefix, error: String(error) });
     clock.schedule(RETRY_MS * (0.5 + random()), () => this.#turn());
--- a/tasks/keeper/keeper.ts
+++ b/tasks/keeper/keeper.ts
@@ -204,8 +204,9 @@
       this.#places.noteUnsettled(order, clock.now());
       log('engineDown', { error: String(error) });
     }
-    if (answer === 'fenced')
+    if (answer === 'fenced') {
       this.#fencingToken = Math.max(this.#fencingToken + 1, this.#options.wallClock());
+    }
     log('placeOrdered', {
       order: order.kind,
       adapter: order.name,
