Leave a server at once when a peer tells of it while the store answers

Removed records may now come back only while the entry's own store is away, and until two seconds after its return. Metrics of each process on 9464/metrics; one line for each placement.

--- a/core/serving/fleet.ts
+++ b/core/serving/fleet.ts
@@ -1,15 +1,6 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import type { BackendServer } from './backendServer.ts';
 
-/** How long a server whose record lapsed stays usable after the store has returned. */
-export const LAPSE_GRACE_MS: Milliseconds = 2000;
-
-/** How to build a `Fleet`. */
-export type FleetOptions = {
-  /** @default LAPSE_GRACE_MS */
-  readonly lapseGraceMs?: Milliseconds;
-};
-
 /** A change of the fleet that its owner may act on. */
 export type FleetChange =
   | { readonly kind: 'listed'; readonly server: BackendServer }
@@ -20,8 +11,8 @@
  * The backend servers that are published, by id.
  *
  * A record that is removed while the store is reachable names a server that has left. Records that
- * lapsed while the store was away may name servers that are alive: these stay for `lapseGraceMs`
- * unless their record returns.
+ * lapsed while the store was away may name servers that are alive: these stay for a while unless
+ * their record returns.
  */
 export class Fleet {
   readonly #servers = new Map<string, BackendServer>();
@@ -29,12 +20,6 @@
   /** When a server that a new list lacked is taken as gone, by id. */
   readonly #lapses = new Map<string, Milliseconds>();
 
-  readonly #lapseGraceMs: Milliseconds;
-
-  constructor(options: FleetOptions = {}) {
-    this.#lapseGraceMs = options.lapseGraceMs ?? LAPSE_GRACE_MS;
-  }
-
   /** All servers that are published or lapsed a moment ago. */
   get servers(): ReadonlyMap<string, BackendServer> {
     return this.#servers;
@@ -58,10 +43,10 @@
     return server === undefined ? undefined : { kind: 'left', server };
   }
 
-  /** Takes the removal of a record that may come back, since the store was away a moment ago. */
-  lapse(id: string, now: Milliseconds): void {
-    if (!this.#servers.has(id) || this.#lapses.has(id)) return;
-    this.#lapses.set(id, now + this.#lapseGraceMs);
+  /** Takes the removal of a record that may come back until then, since the store was away. */
+  lapse(id: string, until: Milliseconds): void {
+    if (!this.#servers.has(id)) return;
+    this.#lapses.set(id, Math.min(until, this.#lapses.get(id) ?? until));
   }
 
   /** Removes servers whose record has lapsed for too long. */
--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -12,5 +12,5 @@
   Service,
   WeightedService,
 } from './deployment.ts';
-export { Fleet, LAPSE_GRACE_MS } from './fleet.ts';
-export type { FleetChange, FleetOptions } from './fleet.ts';
+export { Fleet } from './fleet.ts';
+export type { FleetChange } from './fleet.ts';
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -230,6 +230,12 @@
     message: 'An engine was ordered to load or unload',
     remedy: 'None needed',
   },
+  requestPlaced: {
+    number: 'HS8019',
+    level: 'info',
+    message: 'It was decided where a request goes',
+    remedy: 'None needed',
+  },
   gatewayRequestEnded: {
     number: 'HS8020',
     level: 'info',
--- a/programs/serving/main.ts
+++ b/programs/serving/main.ts
@@ -3,11 +3,14 @@
 import type { Log } from '../../log/mod.ts';
 import { readProcessSettings, SETTINGS_FILE_VARIABLE } from '../../platform/mod.ts';
 import type { ProcessSettings } from '../../platform/mod.ts';
+import { METRICS_PORT } from './serveMetrics.ts';
 import { startGateway } from './startGateway.ts';
 import type { Running } from './startGateway.ts';
 import { startKeeper } from './startKeeper.ts';
 
-const ROLES: Readonly<Record<string, (settings: ProcessSettings, log: Log) => Promise<Running>>> = {
+type Start = (settings: ProcessSettings, log: Log, metricsPort: number) => Promise<Running>;
+
+const ROLES: Readonly<Record<string, Start>> = {
   entry: startGateway,
   sidecar: startKeeper,
 };
@@ -26,7 +29,7 @@
   }
   const settings = readProcessSettings(readFileSync(path, 'utf8'));
   const log = createLog({ stream: 'output', fields: { role, host: settings.host } });
-  const running = await start(settings, log);
+  const running = await start(settings, log, METRICS_PORT);
   log('processStarted', { tookMs: Math.round(performance.now()) });
   process.on('SIGHUP', () => log('settingsReloaded'));
   process.once('SIGTERM', () => {
--- /dev/null
+++ b/programs/serving/serveMetrics.ts
@@ -0,0 +1,23 @@
+import polka from 'polka';
+import type { Metrics } from '../../metrics/mod.ts';
+
+/** Where the processes on the platform show their metrics; the same as in deploy/system.toml. */
+export const METRICS_PORT = 9464;
+
+/**
+ * Serves metrics as text at `/metrics`.
+ *
+ * @param port 0 takes a free one.
+ * @returns Ends the service.
+ */
+export function serveMetrics(ip: string, port: number, metrics: Metrics): () => void {
+  const app = polka().get('/metrics', (_request, response) => {
+    response.setHeader('content-type', 'text/plain; charset=utf-8');
+    response.end(metrics.format());
+  });
+  app.listen({ host: ip, port });
+  return () => {
+    app.server?.closeAllConnections();
+    app.server?.close();
+  };
+}
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -4,6 +4,7 @@
 import { RecordMirror } from '../../core/mirror/mod.ts';
 import type { MirrorNews } from '../../core/mirror/mod.ts';
 import type { Log } from '../../log/mod.ts';
+import { Metrics } from '../../metrics/mod.ts';
 import {
   decodeAdapterRelease,
   decodeBackendServer,
@@ -19,6 +20,7 @@
 import { Gateway, PeerTask, StoreTask } from '../../tasks/gateway/mod.ts';
 import type { Mirrors } from '../../tasks/gateway/mod.ts';
 import { dialWebSocket, listenWebSocket, realClock } from '../../transport/mod.ts';
+import { serveMetrics } from './serveMetrics.ts';
 
 /** A process that serves until it is told to leave. */
 export type Running = {
@@ -71,12 +73,12 @@
   gateway: Gateway,
   log: Log,
   record: StoreRecord,
-  mayReturn: boolean,
+  returnUntil: number | undefined,
 ): void {
   const { key, value } = record;
   const id = key.slice(SERVER_PREFIX.length);
   if (value === undefined) {
-    gateway.servers.remove(id, mayReturn);
+    gateway.servers.remove(id, returnUntil);
     return;
   }
   const server = decodeBackendServer(id, value);
@@ -90,12 +92,20 @@
   });
 }
 
+/** Takes news of one copy of the store's records; returns whether they changed it. */
+type TakeNews = (
+  prefix: string,
+  news: MirrorNews,
+  /** Until when removed records may come back. */
+  returnUntil: number | undefined,
+) => boolean;
+
 /** Starts gossip with the other entries, on hosts that have an address for it. */
 async function startPeers(
   settings: ProcessSettings,
   log: Log,
   mirrors: Mirrors,
-  take: (prefix: string, news: MirrorNews, mayReturn: boolean) => boolean,
+  tell: (prefix: string, news: MirrorNews) => void,
 ): Promise<{ readonly close: () => Promise<void> }> {
   const { peerAddress, seeds } = settings;
   if (peerAddress === undefined) return { close: () => Promise.resolve() };
@@ -106,9 +116,7 @@
     clock: realClock,
     dial: dialWebSocket,
     log,
-    tell: (prefix, news) => {
-      if (take(prefix, news, true)) log('peerTaught', { prefix, asOf: news.asOf });
-    },
+    tell,
   });
   const listener = await listenWebSocket(splitAddress(peerAddress), peers.accept);
   peers.start();
@@ -120,8 +128,17 @@
   };
 }
 
-/** Starts the process that serves callers. */
-export async function startGateway(settings: ProcessSettings, log: Log): Promise<Running> {
+/**
+ * Starts the process that serves callers.
+ *
+ * @param metricsPort Where metrics are shown. @default a free port
+ */
+export async function startGateway(
+  settings: ProcessSettings,
+  log: Log,
+  metricsPort = 0,
+): Promise<Running> {
+  const metrics = new Metrics();
   const store = new StoreClient(settings.storeAddress);
   const gateway = new Gateway({
     entry: `${settings.host}/${randomUUID()}`,
@@ -131,6 +148,7 @@
     clock: realClock,
     dial: dialWebSocket,
     log,
+    metrics,
     random: Math.random,
   });
   const server = new CallerServer({
@@ -140,17 +158,18 @@
   });
   let isLeaving = false;
   const mirrors = new Map([OPERATOR_PREFIX, SERVER_PREFIX].map((key) => [key, new RecordMirror()]));
-  const take = (prefix: string, news: MirrorNews, mayReturn: boolean): boolean => {
+  const take: TakeNews = (prefix, news, returnUntil) => {
     const changed = mirrors.get(prefix)?.apply(news) ?? [];
     changed.forEach((record) => {
-      if (prefix === SERVER_PREFIX) applyServerRecord(gateway, log, record, mayReturn);
+      if (prefix === SERVER_PREFIX) applyServerRecord(gateway, log, record, returnUntil);
       else applyOperatorRecord(gateway, log, record);
     });
     if (gateway.deployment !== undefined) server.applyLimits(gateway.deployment.callerLimits);
     return changed.length > 0;
   };
-  const tasks = [...mirrors].map(
-    ([prefix, mirror]) =>
+  const tasks = new Map(
+    [...mirrors].map(([prefix, mirror]) => [
+      prefix,
       new StoreTask({
         store,
         prefix,
@@ -159,10 +178,14 @@
         log,
         random: Math.random,
         paceMs: prefix === SERVER_PREFIX ? SERVERS_PACE_MS : 0,
-        tell: (news, mayReturn) => take(prefix, news, mayReturn),
+        tell: (news, returnUntil) => take(prefix, news, returnUntil),
       }),
+    ]),
   );
-  const peers = await startPeers(settings, log, mirrors, take);
+  const peers = await startPeers(settings, log, mirrors, (prefix, news) => {
+    if (!take(prefix, news, tasks.get(prefix)?.returnUntil())) return;
+    log('peerTaught', { prefix, asOf: news.asOf });
+  });
   const readiness = polka().get(READINESS_PATH, (_request, response) => {
     response.statusCode = gateway.isReady && !isLeaving ? OK_STATUS : NOT_READY_STATUS;
     response.end();
@@ -172,6 +195,10 @@
   await server.listen();
   gateway.start();
   tasks.forEach((task) => task.start());
+  metrics.gauge('open_requests', () => gateway.open);
+  metrics.gauge('known_servers', () => gateway.servers.size);
+  metrics.gauge('deployment_version', () => gateway.deployment?.version ?? 0);
+  const closeMetrics = serveMetrics(settings.ip, metricsPort, metrics);
   return {
     callerPort: server.port,
     leave: async () => {
@@ -183,6 +210,7 @@
       while (server.open > 0 && performance.now() < endAt) await sleep(50);
       server.abort();
       readiness.server?.close();
+      closeMetrics();
       gateway.close();
       tasks.forEach((task) => task.close());
       await Promise.all([store.close(), peers.close()]);
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -91,11 +91,11 @@
   /**
    * Takes the removal of a published server.
    *
-   * @param mayReturn Whether the record may come back, since the store was away a moment ago.
+   * @param returnUntil Until when the record may come back, since the store was away a moment ago.
    */
-  remove(id: string, mayReturn: boolean): void {
-    if (mayReturn) {
-      this.#fleet.lapse(id, this.#options.clock.now());
+  remove(id: string, returnUntil: Milliseconds | undefined): void {
+    if (returnUntil !== undefined) {
+      this.#fleet.lapse(id, returnUntil);
       return;
     }
     const change = this.#fleet.remove(id);
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -12,10 +12,12 @@
 import { selectRoute, selectService } from '../../core/serving/mod.ts';
 import type { Deployment, ModelName, Service } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
+import type { Metrics } from '../../metrics/mod.ts';
 import { decodeAnswerHead, decodeRequestHead, encodeRequestHeaders } from '../../platform/mod.ts';
 import type { AnswerHead } from '../../platform/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 import { answerOwn } from './_answerOwn.ts';
+import { describeChoice, describeEnd } from './_describeRequest.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
 import { ServerTable } from './_serverTable.ts';
 
@@ -31,6 +33,7 @@
   readonly clock: Clock;
   readonly dial: Dial;
   readonly log: Log;
+  readonly metrics: Metrics;
   /** A number from 0 to 1, which spreads the return of refused callers. */
   readonly random: () => number;
 };
@@ -239,41 +242,41 @@
     const { service, head, route } = request;
     const { engine } = service;
     const modelName = engine === undefined ? undefined : head.modelName;
-    const leftMs = request.dueAt - this.#options.clock.now();
+    const minVersion = this.#minVersion(modelName);
+    const now = this.#options.clock.now();
+    const leftMs = request.dueAt - now;
     const maxLoadWaitMs = Math.min(leftMs / 2, route.objectiveMs * LOAD_WAIT_SHARE);
     const choice = chooseServer(
       {
         ...(modelName === undefined ? {} : { modelName }),
-        minVersion: this.#minVersion(modelName),
+        minVersion,
         batchWidth: engine?.batchWidth ?? 1,
         maxLoadWaitMs,
-        now: this.#options.clock.now(),
+        now,
         availabilityZone: this.#options.availabilityZone,
       },
       this.#viewsOf(service, request.tried),
     );
+    this.#options.log('requestPlaced', describeChoice(request, choice, now, this.#deployment));
     if (choice.kind === 'refuse') {
       this.#refuse(request, choice.reason, choice.retryAfterMs);
     } else if (choice.kind === 'load') {
       this.#awaitAdapter(request, choice.view, maxLoadWaitMs);
     } else {
       if (choice.replicateAt !== undefined && modelName !== undefined) {
-        this.#want(choice.replicateAt, modelName, maxLoadWaitMs);
+        this.#table.want(choice.replicateAt, modelName, minVersion, maxLoadWaitMs);
       }
       this.#send(request, choice.view);
     }
   }
 
-  #want(view: ServerView, name: ModelName, waitMs: Milliseconds): void {
-    this.#table.want(view, name, this.#minVersion(name), waitMs);
-  }
-
   #awaitAdapter(request: OpenRequest, view: ServerView, waitMs: Milliseconds): void {
     const { clock } = this.#options;
     request.view = view;
     request.isAwaiting = true;
     request.awaitingSince = clock.now();
-    this.#want(view, request.head.modelName ?? '', waitMs);
+    const name = request.head.modelName ?? '';
+    this.#table.want(view, name, this.#minVersion(name), waitMs);
     request.cancelTimers.push(
       clock.schedule(waitMs, () => {
         if (request.isAwaiting && request.view === view) this.#refuse(request, 'load-late', 500);
@@ -402,7 +405,7 @@
 
   /** Decides what follows a sending that brought no whole answer. */
   #finishSending(request: OpenRequest, end: SendingEnd, detail: string): void {
-    const { clock, log } = this.#options;
+    const { clock, log, metrics } = this.#options;
     const { view, head, route } = request;
     noteBegun(request);
     if (view !== undefined) {
@@ -420,6 +423,7 @@
     request.sendingNumber += 1;
     if (end === 'unknown' || end === 'failed') request.mayHaveRun += 1;
     else request.notRun += 1;
+    metrics.count('sendings_ended_total', { end });
     log('sendingEnded', {
       request: head.requestId,
       server: view?.server.id,
@@ -499,21 +503,16 @@
       if (end !== 'answered') sending.abort();
       this.#table.noteEnded(view, head.modelName);
     }
+    const tookMs = this.#options.clock.now() - request.acceptedAt;
+    this.#options.metrics.record('request_ms', tookMs, { route: request.route.name, end });
     this.#logEnd(head.requestId, end, {
       ...fields,
-      route: request.route.name,
-      adapter: head.modelName,
-      server: view?.server.id,
-      tookMs: Math.round(this.#options.clock.now() - request.acceptedAt),
-      firstByteMs: request.firstByteMs && Math.round(request.firstByteMs),
-      longestPauseMs: Math.round(request.longestPauseMs),
-      mayHaveRun: request.mayHaveRun,
-      notRun: request.notRun,
-      version: this.#deployment?.version,
+      ...describeEnd(request, tookMs, this.#deployment),
     });
   }
 
   #logEnd(request: string, end: RequestEnd, fields: Parameters<Log>[1]): void {
+    this.#options.metrics.count('requests_total', { end });
     this.#options.log('gatewayRequestEnded', { request, end, ...fields });
   }
 
--- /dev/null
+++ b/tasks/gateway/storeTask.test.ts
@@ -0,0 +1,123 @@
+import { expect } from 'chai';
+import { createVirtualClock } from '../../core/clock/mod.ts';
+import type { VirtualClock } from '../../core/clock/mod.ts';
+import { RecordMirror } from '../../core/mirror/mod.ts';
+import { StoreError } from '../../platform/mod.ts';
+import { StoreTask } from './mod.ts';
+import type { RecordStore } from './mod.ts';
+
+type Call = { readonly kind: 'readAll' | 'watch'; readonly waitMs: number; readonly at: number };
+
+/** A store that answers each call at once, or fails while `isDown`. */
+class FakeStore implements RecordStore {
+  isDown = false;
+
+  isHistoryGone = false;
+
+  revision = 1;
+
+  readonly calls: Call[] = [];
+
+  readonly #clock: VirtualClock;
+
+  constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  readonly readAll: RecordStore['readAll'] = () => {
+    this.calls.push({ kind: 'readAll', waitMs: 0, at: this.#clock.now() });
+    this.isHistoryGone = false;
+    return this.#answer();
+  };
+
+  readonly watch: RecordStore['watch'] = async (_prefix, _revision, waitMs) => {
+    this.calls.push({ kind: 'watch', waitMs, at: this.#clock.now() });
+    if (this.isHistoryGone) throw new StoreError('gone', true);
+    await new Promise<void>((resolve) => {
+      this.#clock.schedule(waitMs, resolve);
+    });
+    return this.#answer();
+  };
+
+  async #answer(): ReturnType<RecordStore['readAll']> {
+    if (this.isDown) throw new StoreError('down');
+    this.revision += 1;
+    return { records: [], revision: this.revision };
+  }
+}
+
+async function runUntil(clock: VirtualClock, time: number): Promise<void> {
+  for (;;) {
+    for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
+    const due = clock.nextDue();
+    if (due === undefined || due > time) break;
+    clock.runNext();
+  }
+  clock.moveTo(time);
+}
+
+describe('StoreTask', () => {
+  let clock: VirtualClock;
+  let store: FakeStore;
+  let told: (number | undefined)[];
+  let task: StoreTask;
+
+  beforeEach(async () => {
+    clock = createVirtualClock();
+    store = new FakeStore(clock);
+    told = [];
+    const mirror = new RecordMirror();
+    task = new StoreTask({
+      store,
+      prefix: 'p/',
+      mirror,
+      clock,
+      log: () => undefined,
+      random: () => 0.5,
+      tell: (news, returnUntil) => {
+        mirror.apply(news);
+        told.push(returnUntil);
+      },
+    });
+    task.start();
+    await runUntil(clock, 5000);
+  });
+
+  it('asks anew within a quarter of a second once the store has failed, and waits for nothing', async () => {
+    store.isDown = true;
+    await runUntil(clock, 20_000);
+    const before = store.calls.length;
+    await runUntil(clock, 20_500);
+    expect(store.calls.length - before).to.be.at.least(2);
+    expect(store.calls.at(-1)?.waitMs).to.be.at.most(1);
+  });
+
+  it('lets removed records come back until two seconds after the return of the store', async () => {
+    expect(task.returnUntil()).to.equal(undefined);
+    store.isDown = true;
+    await runUntil(clock, 9000);
+    expect(task.returnUntil()).to.equal(11_000);
+    store.isDown = false;
+    await runUntil(clock, 9400);
+    const until = task.returnUntil()!;
+    expect(until).to.be.within(11_000, 11_400);
+    await runUntil(clock, 11_400);
+    expect(task.returnUntil()).to.equal(undefined);
+  });
+
+  it('takes one lost answer for no outage, so that a server that leaves is left at once', async () => {
+    store.isDown = true;
+    const before = store.calls.length;
+    while (store.calls.length < before + 1) await runUntil(clock, clock.now() + 100);
+    store.isDown = false;
+    await runUntil(clock, clock.now() + 3000);
+    expect(told.at(-1)).to.equal(undefined);
+  });
+
+  it('reads all records when the history is gone', async () => {
+    store.isHistoryGone = true;
+    const before = store.calls.filter(({ kind }) => kind === 'readAll').length;
+    await runUntil(clock, clock.now() + 3000);
+    expect(store.calls.filter(({ kind }) => kind === 'readAll').length).to.equal(before + 1);
+  });
+});
--- a/tasks/gateway/storeTask.ts
+++ b/tasks/gateway/storeTask.ts
@@ -23,8 +23,8 @@
   readonly mirror: RecordMirror;
   readonly clock: Clock;
   readonly log: Log;
-  /** Told of what the store says; `mayReturn` when removed records may come back. */
-  readonly tell: (news: MirrorNews, mayReturn: boolean) => void;
+  /** Told of what the store says, and until when removed records may come back. */
+  readonly tell: (news: MirrorNews, returnUntil: Milliseconds | undefined) => void;
   /** A number from 0 to 1, which spreads the calls of many processes. */
   readonly random: () => number;
   /** Least time between two calls, in which changes gather; calls are paid for. @default 0 */
@@ -82,6 +82,17 @@
     this.#isClosed = true;
   }
 
+  /**
+   * Until when records that were removed may come back: while the store is away, and a while after its
+   * return. `undefined` while it answers.
+   */
+  returnUntil(): Milliseconds | undefined {
+    const now = this.#options.clock.now();
+    if (this.#failures > 1) return now + AFTER_OUTAGE_MS;
+    const until = this.#outageEndedAt + AFTER_OUTAGE_MS;
+    return until > now ? until : undefined;
+  }
+
   #turn(): void {
     if (this.#isClosed) return;
     const { clock, paceMs = 0 } = this.#options;
@@ -106,11 +117,7 @@
         : await store.watch(prefix, since, waitMs, patienceMs);
     this.#succeed();
     this.#isHistoryGone = false;
-    tell({ since, records, asOf: revision }, this.#isAfterOutage());
-  }
-
-  #isAfterOutage(): boolean {
-    return this.#options.clock.now() - this.#outageEndedAt < AFTER_OUTAGE_MS;
+    tell({ since, records, asOf: revision }, this.returnUntil());
   }
 
   #succeed(): void {
--- a/tasks/keeper/keeper.ts
+++ b/tasks/keeper/keeper.ts
@@ -3,6 +3,7 @@
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { Holding } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
+import type { Metrics } from '../../metrics/mod.ts';
 import type { EngineOrder, EngineReport, OrderAnswer } from '../../platform/mod.ts';
 import type { Accept, Connection } from '../ports/mod.ts';
 import { decodeMessage, encodeMessage } from './messages.ts';
@@ -22,6 +23,7 @@
   /** Wall-clock time, the base of the first fencing token. */
   readonly wallClock: () => number;
   readonly log: Log;
+  readonly metrics: Metrics;
 };
 
 /** Time between reports while an adapter is awaited or on its way. */
@@ -187,7 +189,7 @@
   }
 
   async #give(order: PlaceOrder, report: EngineReport): Promise<void> {
-    const { host, engine, clock, log } = this.#options;
+    const { host, engine, clock, log, metrics } = this.#options;
     const startedAt = clock.now();
     const isSameServer = this.#server !== undefined && this.#server.bornAt === report.bornAt;
     let answer: OrderAnswer | 'lost';
@@ -207,6 +209,8 @@
     if (answer === 'fenced') {
       this.#fencingToken = Math.max(this.#fencingToken + 1, this.#options.wallClock());
     }
+    metrics.count('orders_total', { order: order.kind, answer });
+    metrics.record('order_ms', clock.now() - startedAt);
     log('placeOrdered', {
       order: order.kind,
       adapter: order.name,
