--- a/core/dispatch/chooseServer.test.ts
+++ b/core/dispatch/chooseServer.test.ts
@@ -80,6 +80,16 @@
       expect(choice.kind === 'send' && choice.replicateAt).to.not.equal(undefined);
     });
 
+    it('gets another copy sooner when it is asked for often', () => {
+      const others = [view('b', { pauseMs: 35 }), view('c', { pauseMs: 35 })];
+      const holder = view('a', { holdings: { 'm/a1': 1 }, running: 8, pauseMs: 75 });
+      const cold = chooseServer(REQUEST, [holder, ...others]);
+      expect(cold.kind === 'send' && cold.replicateAt).to.equal(undefined);
+      [1, 2, 3].forEach(() => holder.noteSent('m/a1'));
+      const hot = chooseServer(REQUEST, [holder, ...others]);
+      expect(hot.kind === 'send' && hot.replicateAt).to.not.equal(undefined);
+    });
+
     it('gets no further copy while its holder keeps up', () => {
       const holder = view('a', { holdings: { 'm/a1': 1 }, running: 12 });
       const choice = chooseServer(REQUEST, [holder, view('b', { running: 5 })]);
@@ -107,6 +117,20 @@
       expect(choice.kind === 'load' && choice.view.server.id).to.equal('c');
     });
 
+    it('goes to slow servers seldom, since their streams stop for every prompt they read', () => {
+      const views = ['a', 'b', 'slow'].map((id) =>
+        view(id, { pauseMs: id === 'slow' ? 90 : 35, awaited: 0 }),
+      );
+      views.forEach((each) => each.notePause(each.usualPauseMs, NOW - 60_000));
+      const homes = Array.from({ length: 600 }, (_, index) => {
+        const request = { ...REQUEST, modelName: `m/a${index}`, now: NOW + 60_000 };
+        const choice = chooseServer(request, views);
+        return choice.kind === 'load' ? choice.view.server.id : 'none';
+      });
+      const share = homes.filter((id) => id === 'slow').length / homes.length;
+      expect(share).to.be.within(0.02, 0.25);
+    });
+
     it('goes to the same server from every entry', () => {
       const ids = ['a', 'b', 'c', 'd'];
       const first = chooseServer(
--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '../clock/mod.ts';
-import { rendezvousOrder } from '../placement/mod.ts';
+import { weightedRendezvousOrder } from '../placement/mod.ts';
 import type { ModelName } from '../serving/mod.ts';
 import type { ServerView } from './serverView.ts';
 
@@ -49,8 +49,20 @@
 /** Pause, in multiples of the mean of all servers, above which a server gets no further adapter. */
 const BUSY_PAUSE = 1.5;
 
-/** Pause between pieces above which a busy server's adapters get another copy. */
-const REPLICATE_PAUSE_MS: Milliseconds = 70;
+/** Pause between pieces above which a busy server's hot adapters get another copy. */
+const REPLICATE_PAUSE_MS: Milliseconds = 50;
+
+/** The same for adapters that are not hot. */
+const REPLICATE_COLD_PAUSE_MS: Milliseconds = 90;
+
+/**
+ * Power of a server's speed in its share of the adapters. Reading a prompt stops the streams of a slow
+ * server for longer, so it should get less than its speed would say.
+ */
+const SPEED_POWER = 2;
+
+/** Own requests for one adapter at one server that make another copy worth its load. */
+const HOT_USES = 2;
 
 /** Share of the batch width by which a load above the mean calls for another copy. */
 const REPLICATE_LOAD = 0.25;
@@ -85,9 +97,14 @@
   return (Math.floor(awaited / LOADS_AT_ONCE) + 1) * ADAPTER_LOAD_MS;
 }
 
+/** The servers in the adapter's order, in which a server that is twice as fast wins four times as often. */
 function ordered(name: ModelName, views: readonly ServerView[]): readonly ServerView[] {
   const byId = new Map(views.map((view) => [view.server.id, view]));
-  return rendezvousOrder(name, [...byId.keys()]).map((id) => byId.get(id)!);
+  const candidates = views.map((view) => ({
+    name: view.server.id,
+    weight: 1 / view.usualPauseMs ** SPEED_POWER,
+  }));
+  return weightedRendezvousOrder(name, candidates).map((id) => byId.get(id)!);
 }
 
 function meanOf(views: readonly ServerView[], value: (view: ServerView) => number): number {
@@ -137,8 +154,9 @@
 ): ServerView | undefined {
   const { modelName = '', batchWidth, minVersion, now } = request;
   const load = meanOf(views, (view) => view.load) + REPLICATE_LOAD * batchWidth;
+  const isHot = (best.uses.get(modelName) ?? 0) >= HOT_USES;
   const pause = Math.max(
-    REPLICATE_PAUSE_MS,
+    isHot ? REPLICATE_PAUSE_MS : REPLICATE_COLD_PAUSE_MS,
     meanOf(views, (view) => view.pauseMs(now)) * BUSY_PAUSE,
   );
   if (best.load <= load && best.pauseMs(now) <= pause) return undefined;
--- a/core/dispatch/serverView.ts
+++ b/core/dispatch/serverView.ts
@@ -26,6 +26,9 @@
 /** Weight of the newest pause in a server's mean pause; a busy server makes hundreds a second. */
 const PAUSE_WEIGHT = 0.02;
 
+/** Weight of the newest pause in what is known of a server's speed, which hardly changes. */
+const SPEED_WEIGHT = 0.002;
+
 /** Pause between pieces that is assumed of a server that has made none lately. */
 const ASSUMED_PAUSE_MS: Milliseconds = 35;
 
@@ -67,6 +70,8 @@
 
   #pauseAt: Milliseconds = 0;
 
+  #usualPauseMs: Milliseconds = ASSUMED_PAUSE_MS;
+
   constructor(server: BackendServer) {
     this.server = server;
     this.#remember(server.holdings.map(({ name }) => name));
@@ -111,9 +116,15 @@
     return ASSUMED_PAUSE_MS + (this.#pauseMs - ASSUMED_PAUSE_MS) * weight;
   }
 
+  /** Mean pause over a long time: it tells slow servers from fast ones. */
+  get usualPauseMs(): Milliseconds {
+    return this.#usualPauseMs;
+  }
+
   /** Notes a pause between two pieces of a stream. */
   notePause(tookMs: Milliseconds, now: Milliseconds): void {
     const before = this.pauseMs(now);
+    this.#usualPauseMs += (tookMs - this.#usualPauseMs) * SPEED_WEIGHT;
     this.#pauseMs = before + (tookMs - before) * PAUSE_WEIGHT;
     this.#pauseAt = now;
   }
--- a/core/placement/mod.ts
+++ b/core/placement/mod.ts
@@ -1,5 +1,6 @@
 /** Where requests go. @module */
-export { hashText, rendezvousOrder } from './rendezvousOrder.ts';
+export { hashText, rendezvousOrder, weightedRendezvousOrder } from './rendezvousOrder.ts';
+export type { WeightedCandidate } from './rendezvousOrder.ts';
 export { RouteTable } from './routeTable.ts';
 export type { RouteTableOptions, ServerReport } from './routeTable.ts';
 export type { RouteWeights } from './routeCost.ts';
