--- a/carriage/callerServer.ts
+++ b/carriage/callerServer.ts
@@ -34,7 +34,7 @@
   readonly write: (piece: Buffer) => boolean;
   /** Ends a whole answer. */
   readonly end: (last?: string) => void;
-  /** Resets the connection, so that the answer cannot look whole. */
+  /** Breaks the connection off, by a reset where an orderly end would look whole. */
   readonly breakOff: () => void;
   /** Whether the answer has begun. */
   readonly hasBegun: () => boolean;
@@ -180,10 +180,12 @@
   }
 
   #answerOf(request: IncomingMessage, response: ServerResponse): CallerAnswer {
+    let isUnframed = false;
     return {
       begin: ({ status, statusText, headers, isFramed }) => {
         if (this.#isLeaving || !isFramed) response.shouldKeepAlive = false;
-        if (!isFramed) response.useChunkedEncodingByDefault = false;
+        isUnframed = !isFramed;
+        if (isUnframed) response.useChunkedEncodingByDefault = false;
         response.writeHead(status, statusText, [...headers]);
       },
       write: (piece) => response.write(piece),
@@ -191,7 +193,8 @@
         response.end(last);
       },
       breakOff: () => {
-        request.socket.resetAndDestroy();
+        if (isUnframed) request.socket.resetAndDestroy();
+        else request.socket.destroy();
       },
       hasBegun: () => response.headersSent,
       onDrain: (run) => {
--- a/programs/serving/serving.test.ts
+++ b/programs/serving/serving.test.ts
@@ -181,6 +181,39 @@
     });
   });
 
+  describe('a stream that may be resumed', () => {
+    const whole = [1, 2, 3, 4, 5, 6].map((id) => `id: ${id}\ndata: word\n\n`).join('');
+
+    it('goes on at another server within the same answer, with no event missing or doubled', async () => {
+      await start();
+      world.apps[0]!.fault = 'torn-stream';
+      world.apps[1]!.fault = 'stream';
+      for (let number = 0; number < 2; number += 1) {
+        const result = await world.call({ id: `r${number}`, path: '/long/1' });
+        expect(result).to.include({ status: 200, body: whole, isWhole: true });
+      }
+      const resumed = world.apps[1]!.runs.filter(({ headers }) => headers['last-event-id'] === '3');
+      expect(resumed).to.have.length(world.apps[0]!.runs.length);
+      expect(resumed).to.have.length.above(0);
+    });
+
+    it('breaks off after a whole event when no server can go on', async () => {
+      await start();
+      setFault('torn-stream');
+      const result = await world.call({ id: 'r1', path: '/long/1' });
+      expect(result.isWhole).to.equal(false);
+      expect(runs()).to.equal(2);
+    });
+
+    it('is not sent again where its route does not allow it', async () => {
+      await start();
+      setFault('torn-stream');
+      const result = await world.call({ id: 'r1', path: '/book/1' });
+      expect(result.isWhole).to.equal(false);
+      expect(runs()).to.equal(1);
+    });
+  });
+
   describe('a final answer', () => {
     it("comes at the route's timeout when the server is silent", async () => {
       await start({ timeoutMs: 300 });
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -1,6 +1,7 @@
 import type { CallerRequest, Sending } from '../../carriage/mod.ts';
 import type { Cancellation, Milliseconds } from '../../core/clock/mod.ts';
 import type { ServerView } from '../../core/dispatch/mod.ts';
+import type { EventCutter } from '../../core/streams/mod.ts';
 import type { Route, Service } from '../../core/serving/mod.ts';
 import type { RequestHead } from '../../platform/mod.ts';
 
@@ -13,6 +14,8 @@
   readonly acceptedAt: Milliseconds;
   /** When the final answer is due. */
   readonly dueAt: Milliseconds;
+  /** Keeps count of the events of a stream that another server may go on with. */
+  readonly cutter: EventCutter | undefined;
   /** Servers that have failed or refused this request. */
   readonly tried: Set<string>;
   /** Sendings that a server may have run. */
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -1,24 +1,20 @@
 import type { CallerRequest } from '../../carriage/mod.ts';
 import { Ejection, RetryBudget } from '../../core/admission/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
-import {
-  chooseServer,
-  judgeAnswer,
-  MISDIRECTED_STATUS,
-  nextStep,
-} from '../../core/dispatch/mod.ts';
-import type { AnswerVerdict, SendingEnd, ServerView } from '../../core/dispatch/mod.ts';
+import { chooseServer, MISDIRECTED_STATUS, nextStep } from '../../core/dispatch/mod.ts';
+import type { SendingEnd, ServerView } from '../../core/dispatch/mod.ts';
 import { DONE, failed, unknown } from '../../core/outcome/mod.ts';
+import { EventCutter } from '../../core/streams/mod.ts';
 import { selectRoute, selectService } from '../../core/serving/mod.ts';
 import type { Deployment, ModelName, Service } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
-import { decodeAnswerHead, decodeRequestHead, encodeRequestHeaders } from '../../platform/mod.ts';
-import type { AnswerHead } from '../../platform/mod.ts';
+import { decodeRequestHead, encodeRequestHeaders } from '../../platform/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 import { answerOwn } from './_answerOwn.ts';
 import { describeChoice, describeEnd } from './_describeRequest.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
+import { noteBegun, passAnswer } from './_passAnswer.ts';
 import { ServerTable } from './_serverTable.ts';
 
 /** How to build a `Gateway`. */
@@ -68,13 +64,6 @@
 /** Time without an answer's head, in objectives, after which what may be repeated is sent again. */
 const SILENT_OBJECTIVES = 1;
 
-/** Notes that a server has begun to answer, or that it will not. */
-function noteBegun(request: OpenRequest): void {
-  if (!request.isStarting) return;
-  request.isStarting = false;
-  if (request.view !== undefined) request.view.starting -= 1;
-}
-
 /** Serves callers' requests: chooses servers, sends, sends again, answers. */
 export class Gateway {
   readonly #options: GatewayOptions;
@@ -193,6 +182,7 @@
       service,
       acceptedAt: now,
       dueAt: now + timeMs - ANSWER_MARGIN_MS,
+      cutter: route.repeatability === 'resumable' ? new EventCutter() : undefined,
       tried: new Set(),
       mayHaveRun: 0,
       notRun: 0,
@@ -297,9 +287,6 @@
     view.starting += 1;
     this.#table.noteSent(view, head.modelName);
     const version = this.#minVersion(head.modelName);
-    const isCurrent = (): boolean => !request.isOver && request.sendingNumber === number;
-    const answering = { state: 'none' as 'none' | 'passing' | 'dropping' };
-    let dropped: SendingEnd = 'unknown';
     request.sending = this.#table.connectionsOf(view.server).send(
       {
         method: caller.method,
@@ -308,71 +295,30 @@
           deadlineMs: request.dueAt - now,
           serverId: view.server.id,
           ...(version > 0 && { version }),
+          ...(request.cutter?.lastId !== undefined && { lastEventId: request.cutter.lastId }),
           ...(request.service.engine !== undefined && { priority: Math.min(9, route.priority) }),
         }),
         body: caller.body,
         needsLiveConnection: route.repeatability === 'once',
       },
-      {
-        head: (status, headers, statusText) => {
-          if (!isCurrent()) return false;
-          const answer = decodeAnswerHead(headers);
-          const verdict = this.#judgeHead(request, status, answer);
-          if (verdict === 'foreign') {
-            this.#finishSending(request, 'unknown', `answer of another request, ${status}`);
-            return false;
-          }
-          if (verdict !== 'pass-on') {
-            dropped = verdict;
-            answering.state = 'dropping';
-            return true;
-          }
-          answering.state = 'passing';
-          view.noteFirstByte(clock.now() - request.sentAt);
-          noteBegun(request);
-          const { passedOn, isFramed } = answer;
-          caller.answer.begin({ status, statusText, headers: passedOn, isFramed });
-          return true;
+      passAnswer({
+        request,
+        clock,
+        answered: (status) => {
+          if (status !== MISDIRECTED_STATUS || head.modelName === undefined) return;
+          view.noteLacking(head.modelName, clock.now());
         },
-        data: (piece) => {
-          if (!isCurrent() || answering.state !== 'passing') return true;
-          this.#notePiece(request);
-          const takesMore = caller.answer.write(piece);
-          if (!takesMore) caller.answer.onDrain(() => request.sending?.resume());
-          return takesMore;
-        },
-        end: () => {
-          if (!isCurrent()) return;
-          if (answering.state === 'dropping') {
-            this.#finishSending(request, dropped, 'the server said so');
-            return;
-          }
+        passed: () => {
           caller.answer.end();
           this.#ejection.note(view.server.id, DONE, clock.now());
           this.#end(request, 'answered');
         },
-        failed: (error, wasSent) => {
-          if (!isCurrent()) return;
-          if (answering.state === 'dropping') this.#finishSending(request, dropped, String(error));
-          else this.#finishSending(request, wasSent ? 'unknown' : 'not-sent', String(error));
-        },
-      },
+        finished: (end, detail) => this.#finishSending(request, end, detail),
+      }),
     );
     this.#watchSilence(request, number);
   }
 
-  #notePiece(request: OpenRequest): void {
-    const now = this.#options.clock.now();
-    if (request.firstByteMs === undefined) {
-      request.firstByteMs = now - request.acceptedAt;
-    } else {
-      const pauseMs = now - request.pieceAt;
-      request.longestPauseMs = Math.max(request.longestPauseMs, pauseMs);
-      if (request.route.isStream) request.view?.notePause(pauseMs, now);
-    }
-    request.pieceAt = now;
-  }
-
   /** Sends what may be repeated elsewhere when its server stays silent. */
   #watchSilence(request: OpenRequest, number: number): void {
     const { route } = request;
@@ -390,19 +336,6 @@
     );
   }
 
-  /** Tells what an answer's head means. */
-  #judgeHead(request: OpenRequest, status: number, answer: AnswerHead): AnswerVerdict {
-    const { head, route, mayHaveRun, view } = request;
-    const { repeatability, maxAttempts } = route;
-    if (status === MISDIRECTED_STATUS && head.modelName !== undefined) {
-      view?.noteLacking(head.modelName, this.#options.clock.now());
-    }
-    return judgeAnswer(
-      { ...answer, status },
-      { requestId: head.requestId, repeatability, mayHaveRun, maxAttempts },
-    );
-  }
-
   /** Decides what follows a sending that brought no whole answer. */
   #finishSending(request: OpenRequest, end: SendingEnd, detail: string): void {
     const { clock, log, metrics } = this.#options;
@@ -431,9 +364,9 @@
       detail,
       tookMs: Math.round(clock.now() - request.sentAt),
     });
-    if (request.caller.answer.hasBegun()) {
-      request.caller.answer.breakOff();
-      this.#end(request, 'broken-off');
+    request.cutter?.dropRest();
+    if (request.caller.answer.hasBegun() && request.cutter === undefined) {
+      this.#breakOff(request);
       return;
     }
     const step = nextStep(end, {
@@ -446,6 +379,8 @@
     const isFree = end === 'not-sent';
     if (step === 'again' && (isFree || this.#budgetOf(request.service.name).tryRetry())) {
       this.#place(request);
+    } else if (request.caller.answer.hasBegun()) {
+      this.#breakOff(request);
     } else if (request.mayHaveRun === 0) {
       this.#refuse(request, step === 'again' ? 'retry-budget' : end, 300);
     } else {
@@ -454,12 +389,17 @@
     }
   }
 
+  /** Ends an answer that has begun and can't become whole. */
+  #breakOff(request: OpenRequest): void {
+    request.caller.answer.breakOff();
+    this.#end(request, 'broken-off');
+  }
+
   /** Gives the final answer of a request whose time is over. */
   #giveUp(request: OpenRequest): void {
     if (request.isOver) return;
     if (request.caller.answer.hasBegun()) {
-      request.caller.answer.breakOff();
-      this.#end(request, 'broken-off');
+      this.#breakOff(request);
     } else if (request.mayHaveRun === 0 && request.sending === undefined) {
       this.#refuse(request, 'deadline', 300);
     } else {
@@ -482,6 +422,10 @@
   }
 
   #refuse(request: OpenRequest, reason: string, retryAfterMs: Milliseconds): void {
+    if (request.caller.answer.hasBegun()) {
+      this.#breakOff(request);
+      return;
+    }
     if (request.mayHaveRun > 0 && request.route.repeatability === 'once') {
       answerOwn(request.caller, 502);
       this.#end(request, 'unknown', { reason });
--- /dev/null
+++ b/tasks/gateway/peerTask.test.ts
@@ -0,0 +1,108 @@
+import { expect } from 'chai';
+import { createVirtualClock } from '../../core/clock/mod.ts';
+import type { VirtualClock } from '../../core/clock/mod.ts';
+import { RecordMirror } from '../../core/mirror/mod.ts';
+import type { Accept, Dial } from '../ports/mod.ts';
+import { PeerTask } from './mod.ts';
+
+/** Processes that dial each other by address on a virtual clock; those in `cut` are not reached. */
+class FakeNetwork {
+  readonly clock: VirtualClock = createVirtualClock();
+
+  readonly cut = new Set<string>();
+
+  readonly #accepts = new Map<string, Accept>();
+
+  listen(address: string, accept: Accept): void {
+    this.#accepts.set(address, accept);
+  }
+
+  dialFrom(own: string): Dial {
+    return (address, events) => {
+      const accept = this.#accepts.get(address);
+      const isCut = (): boolean => this.cut.has(own) || this.cut.has(address);
+      const after = (run: () => void): void => {
+        this.clock.schedule(1, () => {
+          if (!isCut()) run();
+        });
+      };
+      if (accept === undefined) {
+        this.clock.schedule(1, () => events.closed());
+        return { send: () => undefined, close: () => undefined };
+      }
+      const far = accept({
+        send: (bytes) => after(() => events.received(bytes)),
+        close: () => undefined,
+      });
+      after(() => events.opened());
+      return { send: (bytes) => after(() => far.received(bytes)), close: () => undefined };
+    };
+  }
+
+  run(ms: number): void {
+    const end = this.clock.now() + ms;
+    while ((this.clock.nextDue() ?? Infinity) <= end) this.clock.runNext();
+    this.clock.moveTo(end);
+  }
+}
+
+type Node = { readonly task: PeerTask; readonly mirror: RecordMirror };
+
+function startNode(network: FakeNetwork, address: string, seeds: readonly string[]): Node {
+  const mirror = new RecordMirror();
+  const task = new PeerTask({
+    address,
+    seeds,
+    mirrors: new Map([['op/', mirror]]),
+    clock: network.clock,
+    dial: network.dialFrom(address),
+    log: () => undefined,
+    tell: (_prefix, news) => mirror.apply(news),
+  });
+  network.listen(address, task.accept);
+  task.start();
+  return { task, mirror };
+}
+
+describe('PeerTask', () => {
+  const VALUE = new Uint8Array([7]);
+
+  it('lets entries find each other through one seed', () => {
+    const network = new FakeNetwork();
+    const names = ['a', 'b', 'c', 'd', 'e', 'f', 'g'];
+    const nodes = names.map((name) => startNode(network, name, ['a']));
+    network.run(8000);
+    nodes.forEach(({ task }) => expect(task.members).to.have.length(6));
+  });
+
+  it('brings an entry forward that the store has turned away, and never back', () => {
+    const network = new FakeNetwork();
+    const nodes = ['a', 'b', 'c', 'd', 'e', 'f'].map((name) =>
+      startNode(network, name, ['a', 'b']),
+    );
+    network.run(5000);
+    const records = [{ key: 'op/x', value: VALUE, revision: 5 }];
+    nodes[4]!.mirror.apply({ since: undefined, records, asOf: 9 });
+    network.run(3000);
+    nodes.forEach(({ mirror }) => expect(mirror.asOf).to.equal(9));
+    nodes[1]!.mirror.apply({ since: 9, records: [{ key: 'op/x', revision: 12 }], asOf: 12 });
+    network.run(3000);
+    nodes.forEach(({ mirror }) => {
+      expect(mirror.asOf).to.equal(12);
+      expect(mirror.records).to.deep.equal([]);
+    });
+  });
+
+  it('finds the others again after it was cut off', () => {
+    const network = new FakeNetwork();
+    const nodes = ['a', 'b', 'c'].map((name) => startNode(network, name, ['a']));
+    network.run(4000);
+    network.cut.add('c');
+    nodes[0]!.mirror.apply({ since: undefined, records: [], asOf: 3 });
+    network.run(9000);
+    expect(nodes[2]!.mirror.asOf).to.equal(undefined);
+    network.cut.delete('c');
+    network.run(4000);
+    expect(nodes[2]!.mirror.asOf).to.equal(3);
+  });
+});
