Keep one copy of the record type, of loads at once and of the choice of a home

Found on reading the whole change once more; behaviour stays as it is. StoreRecord was MirroredRecord under another name; the number of loads at once stood in the placement and in the engine's places; loads and further copies chose their home with the same lines; the keeper described its holdings once for each link, now once a report; awaitingSince and an end that nothing used are gone.

--- a/core/adapters/adapterPlaces.ts
+++ b/core/adapters/adapterPlaces.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import { Popularity } from '../residence/mod.ts';
-import { splitModelName } from '../serving/mod.ts';
+import { ADAPTER_LOADS_AT_ONCE, isAdapter, splitModelName } from '../serving/mod.ts';
 import type { Engine, Holding, ModelName } from '../serving/mod.ts';
 
 /** What an engine holds, as it says itself a moment ago. */
@@ -22,7 +22,7 @@
 
 /** How to build `AdapterPlaces`. */
 export type AdapterPlacesOptions = {
-  /** Adapters on their way at a time; an engine takes four. @default 3 */
+  /** Adapters on their way at a time. @default ADAPTER_LOADS_AT_ONCE */
   readonly loadsAtOnce?: number;
   /** Time for which a loaded adapter stays, so that what waited for it can be sent. @default 400 */
   readonly minResidenceMs?: Milliseconds;
@@ -65,7 +65,7 @@
   #state: EngineHoldings = { holdings: [], coming: [], isBusy: false };
 
   constructor(options: AdapterPlacesOptions = {}) {
-    this.#options = { loadsAtOnce: 3, minResidenceMs: 400, ...options };
+    this.#options = { loadsAtOnce: ADAPTER_LOADS_AT_ONCE, minResidenceMs: 400, ...options };
   }
 
   /** Adapters that are wanted and not held. */
@@ -188,7 +188,7 @@
   }
 
   #takenPlaces(): number {
-    const held = this.#state.holdings.filter(({ name }) => name.includes('/')).length;
+    const held = this.#state.holdings.filter(({ name }) => isAdapter(name)).length;
     return held + this.#state.coming.length + this.#unsettled.size;
   }
 
@@ -198,7 +198,7 @@
     return this.#state.holdings
       .filter(
         ({ name }) =>
-          name.includes('/') &&
+          isAdapter(name) &&
           !used.has(name) &&
           !this.#wants.has(name) &&
           now - (this.#heldSince.get(name) ?? now) >= this.#options.minResidenceMs,
--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import { weightedRendezvousOrder } from '../placement/mod.ts';
+import { ADAPTER_LOADS_AT_ONCE } from '../serving/mod.ts';
 import type { ModelName } from '../serving/mod.ts';
 import type { ServerView } from './serverView.ts';
 
@@ -43,9 +44,6 @@
 /** Time of one adapter's load from the weight store when few are under way. */
 const ADAPTER_LOAD_MS: Milliseconds = 250;
 
-/** Adapters that one engine fetches at a time. */
-const LOADS_AT_ONCE = 3;
-
 /** Pause, in multiples of the mean of all servers, above which a server gets no further adapter. */
 const BUSY_PAUSE = 1.5;
 
@@ -94,7 +92,7 @@
 /** Time until an adapter that is asked for now could serve. */
 function loadWaitOf(view: ServerView): Milliseconds {
   const awaited = view.keeper?.awaited ?? 0;
-  return (Math.floor(awaited / LOADS_AT_ONCE) + 1) * ADAPTER_LOAD_MS;
+  return (Math.floor(awaited / ADAPTER_LOADS_AT_ONCE) + 1) * ADAPTER_LOAD_MS;
 }
 
 /** The servers in the adapter's order, in which a server that is twice as fast wins four times as often. */
@@ -107,6 +105,15 @@
   return weightedRendezvousOrder(name, candidates).map((id) => byId.get(id)!);
 }
 
+/**
+ * The server at which an adapter is loaded: one that held it not long ago still has its weights at hand
+ * and loads it at once; otherwise the first of the adapter's order, so that entries agree.
+ */
+function homeOf(name: ModelName, views: readonly ServerView[]): ServerView | undefined {
+  const inOrder = ordered(name, views);
+  return inOrder.find((view) => view.hasHeld(name)) ?? inOrder[0];
+}
+
 function meanOf(views: readonly ServerView[], value: (view: ServerView) => number): number {
   return views.reduce((sum, view) => sum + value(view), 0) / Math.max(1, views.length);
 }
@@ -129,14 +136,11 @@
 /**
  * Chooses where an adapter that no server holds is loaded.
  *
- * A server that held it not long ago still has its weights at hand and loads it at once. Otherwise the
- * first server of the adapter's order is taken, so that entries agree. Servers that are busier than
- * the others are passed over.
+ * Servers that are busier than the others are passed over.
  */
 function chooseLoad(request: ChoiceRequest, views: readonly ServerView[]): Choice {
   const { modelName = '', batchWidth, maxLoadWaitMs } = request;
-  const calm = ordered(modelName, calmOf(request, views));
-  const home = calm.find((view) => view.hasHeld(modelName)) ?? calm[0];
+  const home = homeOf(modelName, calmOf(request, views));
   if (home !== undefined) return { kind: 'load', view: home };
   const open = views.filter((view) => mayLoad(view, batchWidth));
   const quickest = cheapest(open, loadWaitOf);
@@ -161,12 +165,9 @@
   );
   if (best.load <= load && best.pauseMs(now) <= pause) return undefined;
   const others = calmOf(request, views).filter(
-    (view) =>
-      (view.versionOf(modelName) ?? -1) < minVersion &&
-      costOf(view, request) < costOf(best, request),
+    (view) => !view.holds(modelName, minVersion) && costOf(view, request) < costOf(best, request),
   );
-  const calm = ordered(modelName, others);
-  return calm.find((view) => view.hasHeld(modelName)) ?? calm[0];
+  return homeOf(modelName, others);
 }
 
 /**
@@ -192,7 +193,7 @@
     };
     return { kind: 'send', view: cheapest(open, cost)! };
   }
-  const holders = open.filter((view) => (view.versionOf(modelName) ?? -1) >= minVersion);
+  const holders = open.filter((view) => view.holds(modelName, minVersion));
   const best = cheapest(holders, (view) => costOf(view, request));
   if (best === undefined) return chooseLoad(request, ready);
   const replicateAt = chooseReplica(request, ready, best);
--- a/core/dispatch/serverView.ts
+++ b/core/dispatch/serverView.ts
@@ -105,6 +105,11 @@
     return this.server.holdings.find((holding) => holding.name === name)?.version;
   }
 
+  /** Whether the server holds a name in a version that may run a request. */
+  holds(name: ModelName, minVersion: number): boolean {
+    return (this.versionOf(name) ?? -1) >= minVersion;
+  }
+
   /** Whether the server holds an adapter or held it not long ago, so that its load is quick. */
   hasHeld(name: ModelName): boolean {
     return this.#remembered.has(name);
--- a/core/serving/backendServer.ts
+++ b/core/serving/backendServer.ts
@@ -25,6 +25,14 @@
   readonly remainingMs?: Milliseconds;
 };
 
+/** Adapters that a keeper lets be on their way to one engine at a time; an engine takes four. */
+export const ADAPTER_LOADS_AT_ONCE = 3;
+
+/** Tells whether a model name is that of an adapter. */
+export function isAdapter(name: ModelName): boolean {
+  return name.includes('/');
+}
+
 /** Splits a model name into base model and adapter. */
 export function splitModelName(name: ModelName): {
   readonly model: string;
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -2,7 +2,7 @@
 import polka from 'polka';
 import { CallerServer } from '../../carriage/mod.ts';
 import { RecordMirror } from '../../core/mirror/mod.ts';
-import type { MirrorNews } from '../../core/mirror/mod.ts';
+import type { MirrorNews, MirroredRecord } from '../../core/mirror/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { Metrics } from '../../metrics/mod.ts';
 import {
@@ -16,7 +16,7 @@
   SERVER_PREFIX,
   StoreClient,
 } from '../../platform/mod.ts';
-import type { ProcessSettings, SocketAddress, StoreRecord } from '../../platform/mod.ts';
+import type { ProcessSettings, SocketAddress } from '../../platform/mod.ts';
 import { Gateway, PeerTask, StoreTask } from '../../tasks/gateway/mod.ts';
 import type { Mirrors } from '../../tasks/gateway/mod.ts';
 import { dialWebSocket, listenWebSocket, realClock } from '../../transport/mod.ts';
@@ -55,7 +55,7 @@
   return { ip: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
 }
 
-function applyOperatorRecord(gateway: Gateway, log: Log, record: StoreRecord): void {
+function applyOperatorRecord(gateway: Gateway, log: Log, record: MirroredRecord): void {
   const { key, value } = record;
   if (value === undefined) return;
   try {
@@ -72,7 +72,7 @@
 function applyServerRecord(
   gateway: Gateway,
   log: Log,
-  record: StoreRecord,
+  record: MirroredRecord,
   returnUntil: number | undefined,
 ): void {
   const { key, value } = record;
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -37,18 +37,10 @@
   isStarting: boolean;
   /** Whether the request waits for an adapter at `view`. */
   isAwaiting: boolean;
-  awaitingSince: Milliseconds;
   isOver: boolean;
   cancelTimers: Cancellation[];
 };
 
 /** How a request ended, as the log and the counters have it. */
 export type RequestEnd =
-  | 'answered'
-  | 'worker-failure'
-  | 'refused'
-  | 'unknown'
-  | 'broken-off'
-  | 'caller-gone'
-  | 'no-route'
-  | 'starting';
+  'answered' | 'refused' | 'unknown' | 'broken-off' | 'caller-gone' | 'no-route' | 'starting';
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -2,7 +2,7 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import { ServerView } from '../../core/dispatch/mod.ts';
 import type { KeeperState } from '../../core/dispatch/mod.ts';
-import { Fleet } from '../../core/serving/mod.ts';
+import { Fleet, isAdapter } from '../../core/serving/mod.ts';
 import type {
   BackendServer,
   Engine,
@@ -133,7 +133,7 @@
   }
 
   #tellUse(view: ServerView, name: ModelName | undefined, hasChanged: boolean): void {
-    if (!hasChanged || name === undefined || !name.includes('/')) return;
+    if (!hasChanged || name === undefined || !isAdapter(name)) return;
     this.#links.use(this.#keeperAddress(view.server), name, view.uses.get(name) ?? 0);
   }
 
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -195,7 +195,6 @@
       longestPauseMs: 0,
       isStarting: false,
       isAwaiting: false,
-      awaitingSince: 0,
       isOver: false,
       cancelTimers: [],
     };
@@ -264,7 +263,6 @@
     const { clock } = this.#options;
     request.view = view;
     request.isAwaiting = true;
-    request.awaitingSince = clock.now();
     const name = request.head.modelName ?? '';
     this.#table.want(view, name, this.#minVersion(name), waitMs);
     request.cancelTimers.push(
@@ -465,7 +463,7 @@
     for (const request of [...this.#open]) {
       if (!request.isAwaiting || request.view !== view) continue;
       const name = request.head.modelName ?? '';
-      const isHeld = (view.versionOf(name) ?? -1) >= this.#minVersion(name);
+      const isHeld = view.holds(name, this.#minVersion(name));
       if (isHeld && view.isReady) this.#send(request, view);
       else if (view.keeper === undefined || !view.isReady) {
         request.isAwaiting = false;
--- a/tasks/keeper/keeper.ts
+++ b/tasks/keeper/keeper.ts
@@ -64,6 +64,9 @@
 
   #report: EngineReport | undefined;
 
+  /** The report's holdings as one text, by which links notice that they changed. */
+  #holdingsText = '';
+
   #server: { readonly id: string; readonly bornAt: number } | undefined;
 
   #fencingToken: number;
@@ -185,6 +188,7 @@
       log('engineRestarted', { bornAt: report.bornAt });
     }
     this.#report = report;
+    this.#holdingsText = describeHoldings(report.holdings);
     this.#places.applyHoldings(report, clock.now());
   }
 
@@ -227,7 +231,7 @@
     const report = this.#report;
     const now = this.#options.clock.now();
     if (report === undefined || link.entry === '') return;
-    const holdings = describeHoldings(report.holdings);
+    const holdings = this.#holdingsText;
     const load = report.running + report.queued;
     const places = this.#places.freeablePlaces(now);
     const state = `${places} ${this.#places.awaited} ${this.#fencingToken}`;
