Tell entries at once that an adapter is resident; split what a tenant leaves unused evenly

Ruled out: waits in full batches (batches were never full) and refusals by limit (the noise's only). With the report at once, two quiet requests were refused by limit at an entry that the tenant's last few requests had not reached: its part had shrunk although the tenant asked for half of its limit. Parts now follow demand and share evenly what nobody needs.

--- a/core/limits/limitKeeper.ts
+++ b/core/limits/limitKeeper.ts
@@ -161,6 +161,7 @@
   #share(state: State, now: Milliseconds): number {
     const heard = freshest(state, now, this.#staleAfterMs);
     return shareOfLimit({
+      limit: state.limit.requestsPerSecond,
       entries: this.#entries,
       own: heard?.own ?? 0,
       total: heard && { entries: heard.total.entries, sum: heard.total.requestsPerSecond },
--- a/scenario/world/virtualWorld.test.ts
+++ b/scenario/world/virtualWorld.test.ts
@@ -136,6 +136,24 @@
     });
   });
 
+  it('tells entries at once that an adapter has become resident', async () => {
+    const { world, entry } = await startFixture();
+    entry.task.submit({
+      name: 'first',
+      tokenSha256: TOKEN,
+      request: completion('t/a@1'),
+      timeoutMs: 30_000,
+      onEvent: () => undefined,
+    });
+    const startedAt = world.clock.now();
+    const isKnown = (): boolean =>
+      entry.task.status().links.some(({ report }) => report.resident.includes('t/a@1'));
+    await world.advanceUntil(isKnown, 5000);
+    const tookMs = world.clock.now() - startedAt;
+    // The load takes 250 ms; heartbeats, which come each 250 ms, would tell of it later.
+    expect(tookMs).to.be.at.most(275);
+  });
+
   it('gives the same session for the same seed', async () => {
     const sessions = [await startFixture(), await startFixture()].map(({ world, entry }) => [
       world.network.frames,
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -222,13 +222,25 @@
       this.#onEmpty = onEmpty;
       this.#perform(this.#links.announce(this.#now()));
     },
-    'engine-state': (message) => this.#engineRunner?.handle(message),
+    'engine-state': (message) => this.#handleResidence(message),
     'engine-silent': (message) => this.#engineRunner?.handle(message),
-    'order-reply': (message) => this.#engineRunner?.handle(message),
+    'order-reply': (message) => this.#handleResidence(message),
     'engine-event': (message) => this.#engineRunner?.handle(message),
     'service-reply': (message) => this.#serviceRunner?.handle(message),
   };
 
+  /**
+   * Handles what may change the resident adapter versions, and tells entries of a change at once: by
+   * the next heartbeat they would have sent requests to servers that only begin to load.
+   */
+  #handleResidence(message: EngineMessage): void {
+    const before = this.#engineRunner?.load.resident ?? [];
+    this.#engineRunner?.handle(message);
+    const after = this.#engineRunner?.load.resident ?? [];
+    const isSame = after.length === before.length && after.every((name) => before.includes(name));
+    if (!isSame) this.#perform(this.#links.announce(this.#now()));
+  }
+
   #now(): Milliseconds {
     return this.#options.clock.now();
   }
