Load only the used parts of libraries; test the carriage over raw sockets; end callers whose headers stall

Found by the new tests: the limit on the time of headers was looked at twice a minute only, and a fresh connection without a request would have counted as late. It is now looked at four times a second, from the first byte of headers.

--- /dev/null
+++ b/carriage/backendConnections.test.ts
@@ -0,0 +1,251 @@
+import { expect } from 'chai';
+import { createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import { BackendConnections } from './mod.ts';
+import type { BackendRequest } from './mod.ts';
+
+const OK = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+
+/** How one sending went. */
+type Result = {
+  readonly end: 'whole' | 'failed';
+  readonly status: number;
+  readonly body: string;
+  readonly wasSent: boolean;
+};
+
+/** What the server does with what it has read on one connection; called with each piece. */
+type Behaviour = (socket: Socket, received: string, connection: number) => void;
+
+describe('BackendConnections', () => {
+  let server: Server;
+  let connections: BackendConnections;
+  let behave: Behaviour;
+  let opened: number;
+  let sockets: Socket[];
+
+  function request(path: string, changes: Partial<BackendRequest> = {}): BackendRequest {
+    const base = { method: 'POST', headers: [], body: Buffer.from('body') };
+    return { ...base, path, needsLiveConnection: false, ...changes };
+  }
+
+  function send(path: string, changes: Partial<BackendRequest> = {}): Promise<Result> {
+    return new Promise((resolve) => {
+      let status = 0;
+      const pieces: Buffer[] = [];
+      const body = (): string => Buffer.concat(pieces).toString();
+      connections.send(request(path, changes), {
+        head: (each) => {
+          status = each;
+          return true;
+        },
+        data: (piece) => {
+          pieces.push(piece);
+          return true;
+        },
+        end: () => resolve({ end: 'whole', status, body: body(), wasSent: true }),
+        failed: (_error, wasSent) => resolve({ end: 'failed', status, body: body(), wasSent }),
+      });
+    });
+  }
+
+  /** Lets answers end and connections be given back. */
+  async function settle(): Promise<void> {
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+
+  beforeEach(async () => {
+    opened = 0;
+    sockets = [];
+    behave = (socket) => socket.write(OK);
+    server = createServer((socket) => {
+      const connection = opened;
+      opened += 1;
+      sockets.push(socket);
+      let received = '';
+      socket.on('error', () => undefined);
+      socket.on('data', (piece) => {
+        received += piece.toString('latin1');
+        behave(socket, received, connection);
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const bound = server.address();
+    const port = typeof bound === 'object' && bound !== null ? bound.port : 0;
+    connections = new BackendConnections({ address: `127.0.0.1:${port}`, liveMs: 200 });
+  });
+
+  afterEach(async () => {
+    connections.close();
+    sockets.forEach((socket) => socket.destroy());
+    await new Promise((resolve) => {
+      server.close(resolve);
+    });
+  });
+
+  describe('a connection', () => {
+    it('carries one request after another', async () => {
+      for (const path of ['/1', '/2', '/3']) {
+        expect(await send(path)).to.include({ end: 'whole', status: 200, body: 'ok' });
+        await settle();
+      }
+      expect(opened).to.equal(1);
+    });
+
+    it('carries no second request while one is open', async () => {
+      let isFirst = true;
+      behave = (socket) => {
+        if (!isFirst) socket.write(OK);
+        isFirst = false;
+      };
+      const first = send('/1');
+      await settle();
+      expect(await send('/2')).to.include({ end: 'whole' });
+      expect(opened).to.equal(2);
+      sockets[0]!.write(OK);
+      expect(await first).to.include({ end: 'whole' });
+    });
+
+    it('that was idle for long is not used for what may run once', async () => {
+      await send('/1');
+      await new Promise((resolve) => {
+        setTimeout(resolve, 260);
+      });
+      await send('/2', { needsLiveConnection: true });
+      expect(opened).to.equal(2);
+    });
+
+    it('on which the server announced its end is not used again', async () => {
+      behave = (socket) => socket.write(OK.replace('OK\r\n', 'OK\r\nConnection: close\r\n'));
+      await send('/1');
+      await settle();
+      expect(await send('/2')).to.include({ end: 'whole' });
+      expect(opened).to.equal(2);
+    });
+
+    it('that the server closed while it was idle is not used again', async () => {
+      await send('/1');
+      await settle();
+      sockets[0]!.end();
+      await settle();
+      expect(await send('/2')).to.include({ end: 'whole' });
+      expect(opened).to.equal(2);
+    });
+  });
+
+  describe('bytes that follow an answer', () => {
+    it('are no answer to the next request when they come at once', async () => {
+      behave = (socket, _received, connection) =>
+        socket.write(connection === 0 ? OK + OK.replace('ok', 'no') : OK);
+      expect(await send('/1')).to.include({ end: 'whole', body: 'ok' });
+      await settle();
+      expect(await send('/2')).to.include({ end: 'whole', body: 'ok' });
+      expect(opened).to.equal(2);
+    });
+
+    it('are no answer to the next request when they come while the connection is idle', async () => {
+      await send('/1');
+      await settle();
+      sockets[0]!.write(OK.replace('ok', 'no'));
+      await settle();
+      expect(await send('/2')).to.include({ end: 'whole', body: 'ok' });
+      expect(opened).to.equal(2);
+    });
+  });
+
+  describe('an answer before the body was read', () => {
+    const long = Buffer.alloc(4_000_000, 'x');
+
+    it('is whole, and the next request comes behind the rest of the body, or elsewhere', async () => {
+      const seen: string[] = [];
+      const answered = new Set<number>();
+      behave = (socket, received, connection) => {
+        seen[connection] = received;
+        if (answered.has(connection) || /\r\n\r\n$/.test(received)) return;
+        answered.add(connection);
+        socket.write(OK);
+      };
+      expect(await send('/long', { body: long })).to.include({ end: 'whole', body: 'ok' });
+      await settle();
+      const second = send('/next');
+      await settle();
+      const next = seen.findIndex((text) => text.includes('POST /next'));
+      if (next === 0) {
+        const at = seen[0]!.indexOf('POST /next');
+        const head = seen[0]!.indexOf('\r\n\r\n') + 4;
+        expect(at - head).to.equal(long.length);
+        sockets[0]!.write(OK);
+      }
+      expect(await second).to.include({ end: 'whole', body: 'ok' });
+    });
+
+    it('that closes the connection is delivered once or not at all', async () => {
+      behave = (socket) => {
+        socket.pause();
+        socket.end(
+          OK.replace('200 OK', '413 Too Long').replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n'),
+        );
+      };
+      const result = await send('/long', { body: long });
+      if (result.end === 'whole') expect(result.status).to.equal(413);
+      else expect(result.wasSent).to.equal(true);
+    });
+  });
+
+  describe('what is no whole answer', () => {
+    const broken: Readonly<Record<string, string>> = {
+      'a cut length': 'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok',
+      'a cut chunk': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok',
+      'no last chunk': 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+      'a cut head': 'HTTP/1.1 200 OK\r\nContent-Le',
+      'no answer at all': '',
+      'bytes of no protocol': '\u0000\u0001garbage\r\n\r\n',
+      'two lengths': 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok',
+      'a length and chunks':
+        'HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok',
+    };
+    Object.entries(broken).forEach(([name, bytes]) => {
+      it(`fails as sent, and its connection is not used again (${name})`, async () => {
+        behave = (socket, _received, connection) => {
+          if (connection === 0) socket.end(bytes, 'latin1');
+          else socket.write(OK);
+        };
+        expect(await send('/1')).to.include({ end: 'failed', wasSent: true });
+        expect(await send('/2')).to.include({ end: 'whole', body: 'ok' });
+        expect(opened).to.equal(2);
+      });
+    });
+
+    it('is an answer without a length whose connection is reset', async () => {
+      behave = (socket) => {
+        socket.write('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok', () =>
+          setTimeout(() => socket.resetAndDestroy(), 20),
+        );
+      };
+      expect(await send('/1')).to.include({ end: 'failed', wasSent: true });
+    });
+
+    it('is not an answer without a length whose connection ends in order', async () => {
+      behave = (socket) => socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok');
+      expect(await send('/1')).to.include({ end: 'whole', body: 'ok' });
+    });
+
+    it('is not an answer behind an interim one', async () => {
+      behave = (socket) => socket.write(`HTTP/1.1 103 Early Hints\r\n\r\n${OK}`);
+      expect(await send('/1')).to.include({ end: 'whole', status: 200, body: 'ok' });
+    });
+  });
+
+  describe('a server that is not there', () => {
+    it('has been sent nothing', async () => {
+      await new Promise((resolve) => {
+        server.close(resolve);
+      });
+      expect(await send('/1')).to.include({ end: 'failed', wasSent: false });
+    });
+  });
+});
--- /dev/null
+++ b/carriage/callerServer.test.ts
@@ -0,0 +1,261 @@
+import { expect } from 'chai';
+import { CallerServer } from './mod.ts';
+import type { CallerRequest, CallerServerLimits } from './mod.ts';
+import { openRawConnection } from './testing/rawConnection.ts';
+import type { RawConnection } from './testing/rawConnection.ts';
+
+const LIMITS: CallerServerLimits = {
+  maxHeaderBytes: 4096,
+  maxBodyBytes: 1000,
+  headerTimeoutMs: 200,
+  idleTimeoutMs: 800,
+};
+
+describe('CallerServer', () => {
+  let server: CallerServer;
+  let requests: CallerRequest[];
+  let answer: (request: CallerRequest) => void;
+
+  function answerOk({ answer: to }: CallerRequest): void {
+    const headers = ['content-length', '2'];
+    to.begin({ status: 200, statusText: 'OK', headers, isFramed: true });
+    to.end('ok');
+  }
+
+  function send(text: string): RawConnection {
+    const connection = openRawConnection(server.port);
+    connection.socket.write(text, 'latin1');
+    return connection;
+  }
+
+  beforeEach(async () => {
+    requests = [];
+    answer = answerOk;
+    server = new CallerServer({
+      ip: '127.0.0.1',
+      port: 0,
+      limits: LIMITS,
+      handle: (request) => {
+        requests.push(request);
+        answer(request);
+      },
+    });
+    await server.listen();
+  });
+
+  afterEach(() => {
+    server.abort();
+  });
+
+  describe('a request that could be read in two ways', () => {
+    const hidden = 'GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n';
+    const heads: Readonly<Record<string, string>> = {
+      'a length and chunks': 'Content-Length: 5\r\nTransfer-Encoding: chunked',
+      'chunks and a length': 'Transfer-Encoding: chunked\r\nContent-Length: 5',
+      'two lengths': 'Content-Length: 5\r\nContent-Length: 60',
+      'a list of lengths': 'Content-Length: 5, 60',
+      'a signed length': 'Content-Length: +5',
+      'a negative length': 'Content-Length: -5',
+      'a space before the colon': 'Content-Length : 5',
+      'a folded line': 'X-A: b\r\n Content-Length: 5',
+      'chunks that are not the last coding': 'Transfer-Encoding: chunked, identity',
+      'an unknown coding': 'Transfer-Encoding: xchunked',
+    };
+    Object.entries(heads).forEach(([name, lines]) => {
+      it(`is refused and nothing within it is run (${name})`, async () => {
+        const text = `POST /a HTTP/1.1\r\nHost: a\r\n${lines}\r\n\r\n0\r\n\r\n${hidden}`;
+        const received = await send(text).closed;
+        expect(received).to.match(/^HTTP\/1\.1 400 /);
+        expect(requests).to.deep.equal([]);
+      });
+    });
+  });
+
+  describe('a body', () => {
+    it('in chunks reaches the handler whole, without their lengths', async () => {
+      const chunks = '3;name=value\r\nabc\r\n4\r\n\r\nde\r\n0\r\nTrailer: x\r\n\r\n';
+      await send(
+        `POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}`,
+      ).until(/ok$/);
+      expect(requests.map(({ body }) => body.toString())).to.deep.equal(['abc\r\nde']);
+    });
+
+    it('that itself looks like a request is a body', async () => {
+      const inner = 'GET /inner HTTP/1.1\r\nHost: a\r\n\r\n';
+      const head = `POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: ${inner.length}\r\n\r\n`;
+      await send(`${head}${inner}${head}${inner}`).until(/ok[^]*ok$/);
+      expect(requests.map(({ path }) => path)).to.deep.equal(['/a', '/a']);
+      expect(requests.map(({ body }) => body.toString())).to.deep.equal([inner, inner]);
+    });
+
+    it('of just the limit is taken, with a length and in chunks', async () => {
+      const body = 'x'.repeat(LIMITS.maxBodyBytes);
+      await send(
+        `POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+      ).until(/ok$/);
+      const chunk = `${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`;
+      await send(`POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${chunk}`).until(
+        /ok$/,
+      );
+      expect(requests.map(({ body: { length } }) => length)).to.deep.equal([1000, 1000]);
+    });
+
+    it('above the limit is refused before it has come whole, with a length and in chunks', async () => {
+      const piece = 'x'.repeat(LIMITS.maxBodyBytes + 1);
+      const fixed = send(`POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9999\r\n\r\n${piece}`);
+      const chunk = `${piece.length.toString(16)}\r\n${piece}\r\n`;
+      const chunked = send(
+        `POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n${chunk}`,
+      );
+      for (const connection of [fixed, chunked]) {
+        expect(await connection.until(/\r\n\r\n/)).to.match(
+          /^HTTP\/1\.1 413 [^]*connection: close/,
+        );
+      }
+      expect(requests).to.deep.equal([]);
+    });
+
+    it('that breaks off is no request', async () => {
+      const connection = send('POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc');
+      connection.socket.end();
+      await connection.closed;
+      expect(requests).to.deep.equal([]);
+    });
+  });
+
+  describe('headers', () => {
+    it('keep their spelling, order and repetitions', async () => {
+      await send('GET /a?b=%20 HTTP/1.1\r\nHost: a\r\nX-B: 1\r\nx-b: 2\r\n\r\n').until(/ok$/);
+      const [request] = requests;
+      expect(request?.path).to.equal('/a?b=%20');
+      expect(request?.headers).to.deep.equal(['Host', 'a', 'X-B', '1', 'x-b', '2']);
+    });
+
+    it('above the limit are refused', async () => {
+      const long = 'x'.repeat(LIMITS.maxHeaderBytes);
+      const received = await send(`GET /a HTTP/1.1\r\nHost: a\r\nX-A: ${long}\r\n\r\n`).until(
+        /\r\n\r\n/,
+      );
+      expect(received).to.match(/^HTTP\/1\.1 431 /);
+      expect(requests).to.deep.equal([]);
+    });
+
+    it('that do not come in time end the connection', async () => {
+      const received = await send('GET /a HTTP/1.1\r\nHost: a\r\nX-A: ').closed;
+      expect(received).to.match(/^HTTP\/1\.1 408 /);
+      expect(requests).to.deep.equal([]);
+    });
+
+    it('that do not come in time end the connection after an earlier request', async () => {
+      const connection = send('GET /a HTTP/1.1\r\nHost: a\r\n\r\n');
+      await connection.until(/ok$/);
+      connection.socket.write('GET /b HTTP/1.1\r\nHost: a\r\nX-A: ');
+      expect(await connection.closed).to.match(/okHTTP\/1\.1 408 /);
+      expect(requests.map(({ path }) => path)).to.deep.equal(['/a']);
+    });
+  });
+
+  describe('a connection', () => {
+    it('carries one request after another, answered in their order', async () => {
+      const waiting: CallerRequest[] = [];
+      answer = (request) => waiting.push(request);
+      const connection = send(
+        'GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n',
+      );
+      while (waiting.length < 2) await new Promise(setImmediate);
+      answerOk(waiting[1]!);
+      waiting[0]!.answer.begin({
+        status: 404,
+        statusText: 'Not Found',
+        headers: ['content-length', '0'],
+        isFramed: true,
+      });
+      waiting[0]!.answer.end();
+      expect(await connection.until(/ok$/)).to.match(/^HTTP\/1\.1 404 [^]*HTTP\/1\.1 200 /);
+    });
+
+    it('that has sent nothing yet stays open as long as an idle one', async () => {
+      const connection = openRawConnection(server.port);
+      await new Promise((resolve) => {
+        setTimeout(resolve, LIMITS.idleTimeoutMs * 0.8);
+      });
+      connection.socket.write('GET /1 HTTP/1.1\r\nHost: a\r\n\r\n');
+      await connection.until(/ok$/);
+    });
+
+    it('that is idle is closed after the idle limit, not before four fifths of it', async () => {
+      const connection = send('GET /1 HTTP/1.1\r\nHost: a\r\n\r\n');
+      await connection.until(/ok$/);
+      const startedAt = performance.now();
+      await connection.closed;
+      expect(performance.now() - startedAt).to.be.at.least(LIMITS.idleTimeoutMs * 0.8);
+    });
+
+    it('is asked to end with the next answer once the process leaves', async () => {
+      server.leave();
+      const received = await send('GET /1 HTTP/1.1\r\nHost: a\r\n\r\n').closed;
+      expect(received).to.match(/connection: close/i);
+      expect(received).to.match(/\r\n\r\nok$/);
+    });
+
+    it('of a caller that reads slowly holds its answer back instead of keeping it in memory', async () => {
+      const piece = Buffer.alloc(65_536, 'x');
+      let written = 0;
+      let isHeldBack = false;
+      let drained: (() => void) | undefined;
+      answer = ({ answer: to }) => {
+        to.begin({ status: 200, statusText: 'OK', headers: [], isFramed: true });
+        const more = (): void => {
+          while (written < 200) {
+            written += 1;
+            if (!to.write(piece)) {
+              isHeldBack = true;
+              to.onDrain(more);
+              return;
+            }
+          }
+          to.end();
+          drained?.();
+        };
+        more();
+      };
+      const connection = openRawConnection(server.port);
+      connection.socket.pause();
+      connection.socket.write('GET /1 HTTP/1.1\r\nHost: a\r\n\r\n');
+      while (!isHeldBack) await new Promise(setImmediate);
+      expect(written).to.be.below(200);
+      const whole = new Promise<void>((resolve) => {
+        drained = resolve;
+      });
+      connection.socket.resume();
+      await whole;
+      await connection.until(/\r\n0\r\n\r\n$/);
+      expect(connection.text().length).to.be.at.least(200 * piece.length);
+    });
+
+    it('that its caller closes ends the wait for an answer', async () => {
+      const gone = new Promise<void>((resolve) => {
+        answer = ({ answer: to }) => to.onGone(resolve);
+      });
+      const connection = send('GET /1 HTTP/1.1\r\nHost: a\r\n\r\n');
+      while (requests.length === 0) await new Promise(setImmediate);
+      connection.socket.destroy();
+      await gone;
+    });
+  });
+
+  describe('an answer that breaks off', () => {
+    it('does not look whole, with a length and in chunks', async () => {
+      for (const headers of [['content-length', '9'], []]) {
+        answer = ({ answer: to }) => {
+          to.begin({ status: 200, statusText: 'OK', headers, isFramed: true });
+          to.write(Buffer.from('abc'));
+          setImmediate(() => to.breakOff());
+        };
+        const received = await send('GET /1 HTTP/1.1\r\nHost: a\r\n\r\n').closed;
+        expect(received).to.not.match(/0\r\n\r\n$/);
+        expect(received.length - received.indexOf('\r\n\r\n')).to.be.below(4 + 12);
+      }
+    });
+  });
+});
--- a/carriage/callerServer.ts
+++ b/carriage/callerServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Milliseconds } from '../core/clock/mod.ts';
+import { HeaderWatch } from './_headerWatch.ts';
 
 /** A caller's request whose body has been read whole. */
 export type CallerRequest = {
@@ -89,6 +90,8 @@
 
   readonly #options: CallerServerOptions;
 
+  readonly #headerWatch: HeaderWatch;
+
   #limits: CallerServerLimits;
 
   #isLeaving = false;
@@ -98,10 +101,17 @@
   constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#limits = options.limits;
+    this.#headerWatch = new HeaderWatch(options.limits.headerTimeoutMs);
     this.#server = createServer(
-      { maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: 0, keepAlive: true, noDelay: true },
+      {
+        maxHeaderSize: PARSER_HEADER_BYTES,
+        requestTimeout: 0,
+        keepAlive: true,
+        noDelay: true,
+      },
       (request, response) => this.#read(request, response),
     );
+    this.#server.on('connection', (socket) => this.#headerWatch.add(socket));
     this.applyLimits(options.limits);
   }
 
@@ -113,7 +123,9 @@
   /** Puts new limits in force. */
   applyLimits(limits: CallerServerLimits): void {
     this.#limits = limits;
-    this.#server.headersTimeout = limits.headerTimeoutMs;
+    this.#headerWatch.applyLimit(limits.headerTimeoutMs);
+    // Ends connections that were opened and never used.
+    this.#server.headersTimeout = Math.max(limits.headerTimeoutMs, limits.idleTimeoutMs);
     this.#server.keepAliveTimeout = limits.idleTimeoutMs;
   }
 
@@ -139,11 +151,13 @@
 
   /** Closes all connections. */
   abort(): void {
+    this.#headerWatch.close();
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
   #read(request: IncomingMessage, response: ServerResponse): void {
+    this.#headerWatch.noteHeaders(request);
     response.sendDate = false;
     this.#open += 1;
     response.once('close', () => {
--- a/metrics/metrics.ts
+++ b/metrics/metrics.ts
@@ -1,10 +1,13 @@
-import { build } from 'hdr-histogram-js';
+import { Int32Histogram } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 import type { Milliseconds } from '../core/clock/mod.ts';
 
 /** Labels of a counter or histogram. */
 export type MetricLabels = Readonly<Record<string, string>>;
 
+/** Digits of a time that a histogram keeps: a few kilobytes for each series. */
+const SIGNIFICANT_DIGITS = 2;
+
 const QUANTILES = [50, 90, 95, 99, 99.9] as const;
 
 /** The longest time that a histogram holds, in milliseconds; longer ones count as this. */
@@ -46,7 +49,7 @@
     const key = this.#keyOf(series, labelText(labels));
     let histogram = series.get(key);
     if (histogram === undefined) {
-      histogram = build({ highestTrackableValue: LONGEST_MS, numberOfSignificantValueDigits: 2 });
+      histogram = new Int32Histogram(1, LONGEST_MS, SIGNIFICANT_DIGITS);
       series.set(key, histogram);
     }
     histogram.recordValue(Math.min(LONGEST_MS, Math.max(0, Math.round(tookMs))));
--- a/tools/build/main.ts
+++ b/tools/build/main.ts
@@ -3,6 +3,7 @@
 import { build } from 'esbuild';
 import type { Plugin } from 'esbuild';
 import { inject } from 'postject';
+import { takeLibraryParts } from './libraryParts.ts';
 
 const BUNDLE = 'dist/hyssopspread.cjs';
 const SERVING_BUNDLE = 'target/hyssopspread.cjs';
@@ -37,7 +38,7 @@
     target: 'node20',
     format: 'cjs',
     logLevel: 'warning',
-    plugins: [leaveOutNativeParts],
+    plugins: [takeLibraryParts, leaveOutNativeParts],
   });
 }
 
