Compile ahead; learn servers' speeds at once; read settings that change; stop without a reader of the log

The mean now follows the first pauses at once, and a load counts relative to the speed. Found on the way: a process whose log nobody reads any more span for ever after the first failed write. Settings are looked at each 2 s and on SIGHUP: seeds, grace and share of retries change while it runs.

--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -114,6 +114,15 @@
   return inOrder.find((view) => view.hasHeld(name)) ?? inOrder[0];
 }
 
+/**
+ * Returns what a server's load means beside that of the others: on a server that is half as fast,
+ * requests stay twice as long and each prompt stops the others for twice as long.
+ */
+function relativeLoad(views: readonly ServerView[]): (view: ServerView) => number {
+  const usual = meanOf(views, (view) => view.usualPauseMs);
+  return (view) => (view.load * view.usualPauseMs) / usual;
+}
+
 function meanOf(views: readonly ServerView[], value: (view: ServerView) => number): number {
   return views.reduce((sum, view) => sum + value(view), 0) / Math.max(1, views.length);
 }
@@ -126,10 +135,12 @@
 function calmOf(request: ChoiceRequest, views: readonly ServerView[]): readonly ServerView[] {
   const { batchWidth, maxLoadWaitMs, now } = request;
   const open = views.filter((view) => mayLoad(view, batchWidth));
-  const load = meanOf(open, (view) => view.load) + REPLICATE_LOAD * batchWidth;
+  const loadOf = relativeLoad(open);
+  const load = meanOf(open, loadOf) + REPLICATE_LOAD * batchWidth;
   const pause = meanOf(open, (view) => view.pauseMs(now)) * BUSY_PAUSE;
   return open.filter(
-    (view) => view.load <= load && view.pauseMs(now) <= pause && loadWaitOf(view) <= maxLoadWaitMs,
+    (view) =>
+      loadOf(view) <= load && view.pauseMs(now) <= pause && loadWaitOf(view) <= maxLoadWaitMs,
   );
 }
 
@@ -157,13 +168,14 @@
   best: ServerView,
 ): ServerView | undefined {
   const { modelName = '', batchWidth, minVersion, now } = request;
-  const load = meanOf(views, (view) => view.load) + REPLICATE_LOAD * batchWidth;
+  const loadOf = relativeLoad(views);
+  const load = meanOf(views, loadOf) + REPLICATE_LOAD * batchWidth;
   const isHot = (best.uses.get(modelName) ?? 0) >= HOT_USES;
   const pause = Math.max(
     isHot ? REPLICATE_PAUSE_MS : REPLICATE_COLD_PAUSE_MS,
     meanOf(views, (view) => view.pauseMs(now)) * BUSY_PAUSE,
   );
-  if (best.load <= load && best.pauseMs(now) <= pause) return undefined;
+  if (loadOf(best) <= load && best.pauseMs(now) <= pause) return undefined;
   const others = calmOf(request, views).filter(
     (view) => !view.holds(modelName, minVersion) && costOf(view, request) < costOf(best, request),
   );
--- a/core/dispatch/serverView.ts
+++ b/core/dispatch/serverView.ts
@@ -29,6 +29,12 @@
 /** Weight of the newest pause in what is known of a server's speed, which hardly changes. */
 const SPEED_WEIGHT = 0.002;
 
+/**
+ * Pauses that the assumed speed of a server counts for: a slow server must be known before it has been
+ * given its share of the adapters, which takes some seconds.
+ */
+const ASSUMED_PAUSES = 20;
+
 /** Pause between pieces that is assumed of a server that has made none lately. */
 const ASSUMED_PAUSE_MS: Milliseconds = 35;
 
@@ -72,6 +78,9 @@
 
   #usualPauseMs: Milliseconds = ASSUMED_PAUSE_MS;
 
+  /** Pauses that the usual pause is the mean of. */
+  #pauses = ASSUMED_PAUSES;
+
   constructor(server: BackendServer) {
     this.server = server;
     this.#remember(server.holdings.map(({ name }) => name));
@@ -129,7 +138,9 @@
   /** Notes a pause between two pieces of a stream. */
   notePause(tookMs: Milliseconds, now: Milliseconds): void {
     const before = this.pauseMs(now);
-    this.#usualPauseMs += (tookMs - this.#usualPauseMs) * SPEED_WEIGHT;
+    this.#pauses += 1;
+    const weight = Math.max(SPEED_WEIGHT, 1 / this.#pauses);
+    this.#usualPauseMs += (tookMs - this.#usualPauseMs) * weight;
     this.#pauseMs = before + (tookMs - before) * PAUSE_WEIGHT;
     this.#pauseAt = now;
   }
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -158,6 +158,12 @@
     message: 'The settings were read again',
     remedy: 'None needed',
   },
+  settingsWrong: {
+    number: 'HS8022',
+    level: 'error',
+    message: 'The settings file cannot be used; what is known stays in force',
+    remedy: 'Correct the file at the place that the error names',
+  },
   deploymentTaken: {
     number: 'HS8001',
     level: 'info',
--- a/programs/serving/main.ts
+++ b/programs/serving/main.ts
@@ -1,9 +1,11 @@
-import { readFileSync } from 'node:fs';
 import { createLog } from '../../log/mod.ts';
 import type { Log } from '../../log/mod.ts';
-import { readProcessSettings, SETTINGS_FILE_VARIABLE } from '../../platform/mod.ts';
+import { SETTINGS_FILE_VARIABLE } from '../../platform/mod.ts';
 import type { ProcessSettings } from '../../platform/mod.ts';
+import { COMPILED_CODE_VARIABLE } from './compiledCode.ts';
+import { realClock } from '../../transport/mod.ts';
 import { METRICS_PORT } from './serveMetrics.ts';
+import { SettingsFile } from './settingsFile.ts';
 import { startGateway } from './startGateway.ts';
 import type { Running } from './startGateway.ts';
 import { startKeeper } from './startKeeper.ts';
@@ -27,11 +29,15 @@
     process.exitCode = WRONG_USE;
     return;
   }
-  const settings = readProcessSettings(readFileSync(path, 'utf8'));
-  const log = createLog({ stream: 'output', fields: { role, host: settings.host } });
-  const running = await start(settings, log, METRICS_PORT);
-  log('processStarted', { tookMs: Math.round(performance.now()) });
-  process.on('SIGHUP', () => log('settingsReloaded'));
+  const file = new SettingsFile(path);
+  const log = createLog({ stream: 'output', fields: { role, host: file.first.host } });
+  const running = await start(file.first, log, METRICS_PORT);
+  file.start({ clock: realClock, log, changed: (settings) => running.applySettings(settings) });
+  const compiledCode = process.env[COMPILED_CODE_VARIABLE] ?? 'none';
+  log('processStarted', { tookMs: Math.round(performance.now()), compiledCode });
+  process.on('SIGHUP', () => {
+    file.look().catch((error: unknown) => log('settingsWrong', { error: String(error) }));
+  });
   process.once('SIGTERM', () => {
     log('processStopping');
     running
@@ -44,6 +50,9 @@
   });
 }
 
+// Without a reader of the log the process goes on; an error of the log can't be logged.
+process.stdout.on('error', () => undefined);
+
 process.on('uncaughtException', (error) => {
   process.stdout.write(`${JSON.stringify({ level: 'error', message: String(error.stack) })}\n`);
 });
--- /dev/null
+++ b/programs/serving/settingsFile.test.ts
@@ -0,0 +1,89 @@
+import { expect } from 'chai';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createVirtualClock } from '../../core/clock/mod.ts';
+import type { VirtualClock } from '../../core/clock/mod.ts';
+import type { LogEventName } from '../../log/mod.ts';
+import type { ProcessSettings } from '../../platform/mod.ts';
+import { SettingsFile } from './settingsFile.ts';
+
+function textWith(seed: string): string {
+  return `
+node-name: n1
+ip: 127.0.0.1
+zone: z1
+listen: {}
+internal-ports: [7000]
+seeds: ["${seed}"]
+platform: { address: "127.0.0.1:9" }
+bounds: {}
+`;
+}
+
+describe('SettingsFile', () => {
+  let directory: string;
+  let path: string;
+  let clock: VirtualClock;
+  let events: LogEventName[];
+  let taken: ProcessSettings[];
+
+  function open(): SettingsFile {
+    const file = new SettingsFile(path);
+    file.start({
+      clock,
+      log: (event) => events.push(event),
+      changed: (settings) => taken.push(settings),
+    });
+    return file;
+  }
+
+  beforeEach(() => {
+    directory = mkdtempSync(join(tmpdir(), 'hyssopspread-'));
+    path = join(directory, 'node.yaml');
+    writeFileSync(path, textWith('10.0.0.1:1'));
+    clock = createVirtualClock();
+    events = [];
+    taken = [];
+  });
+
+  afterEach(() => {
+    rmSync(directory, { recursive: true });
+  });
+
+  it('tells of settings that have changed, once', async () => {
+    const file = open();
+    await file.look();
+    expect(taken).to.deep.equal([]);
+    writeFileSync(path, textWith('10.0.0.2:1'));
+    await file.look();
+    await file.look();
+    expect(taken.map(({ seeds }) => seeds)).to.deep.equal([['10.0.0.2:1']]);
+    expect(events).to.deep.equal(['settingsReloaded']);
+  });
+
+  it('looks by itself, without a signal', async () => {
+    const file = open();
+    writeFileSync(path, textWith('10.0.0.3:1'));
+    while (taken.length === 0) {
+      clock.runNext();
+      await new Promise(setImmediate);
+    }
+    file.close();
+    expect(taken[0]?.seeds).to.deep.equal(['10.0.0.3:1']);
+  });
+
+  it('goes on with what it knows when the file is wrong, and says so once', async () => {
+    const file = open();
+    writeFileSync(path, 'node-name: [');
+    while (events.length === 0) {
+      clock.runNext();
+      await new Promise(setImmediate);
+    }
+    await file.look();
+    file.close();
+    expect(taken).to.deep.equal([]);
+    expect(events).to.deep.equal(['settingsWrong']);
+    expect(file.first.seeds).to.deep.equal(['10.0.0.1:1']);
+  });
+});
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -26,6 +26,8 @@
 export type Running = {
   /** The port on which callers are served; 0 on a process that takes none. */
   readonly callerPort: number;
+  /** Takes settings that have changed; addresses stay as they were at the start. */
+  readonly applySettings: (settings: ProcessSettings) => void;
   readonly leave: () => Promise<void>;
 };
 
@@ -100,15 +102,22 @@
   returnUntil: number | undefined,
 ) => boolean;
 
+type Peers = {
+  readonly applySeeds: (seeds: readonly SocketAddress[]) => void;
+  readonly close: () => Promise<void>;
+};
+
 /** Starts gossip with the other entries, on hosts that have an address for it. */
 async function startPeers(
   settings: ProcessSettings,
   log: Log,
   mirrors: Mirrors,
   tell: (prefix: string, news: MirrorNews) => void,
-): Promise<{ readonly close: () => Promise<void> }> {
+): Promise<Peers> {
   const { peerAddress, seeds } = settings;
-  if (peerAddress === undefined) return { close: () => Promise.resolve() };
+  if (peerAddress === undefined) {
+    return { applySeeds: () => undefined, close: () => Promise.resolve() };
+  }
   const peers = new PeerTask({
     address: peerAddress,
     seeds,
@@ -121,6 +130,7 @@
   const listener = await listenWebSocket(splitAddress(peerAddress), peers.accept);
   peers.start();
   return {
+    applySeeds: (changed) => peers.applySeeds(changed),
     close: () => {
       peers.close();
       return listener.close();
@@ -157,6 +167,7 @@
     handle: (request) => gateway.handle(request),
   });
   let isLeaving = false;
+  let { graceMs } = settings;
   const mirrors = new Map([OPERATOR_PREFIX, SERVER_PREFIX].map((key) => [key, new RecordMirror()]));
   const take: TakeNews = (prefix, news, returnUntil) => {
     const changed = mirrors.get(prefix)?.apply(news) ?? [];
@@ -201,11 +212,16 @@
   const closeMetrics = serveMetrics(settings.ip, metricsPort, metrics);
   return {
     callerPort: server.port,
+    applySettings: (changed) => {
+      graceMs = changed.graceMs;
+      gateway.applyRetryShare(changed.retryShare);
+      peers.applySeeds(changed.seeds);
+    },
     leave: async () => {
-      const endAt = performance.now() + settings.graceMs - BREAK_OFF_MS;
+      const endAt = performance.now() + graceMs - BREAK_OFF_MS;
       isLeaving = true;
       server.leave();
-      await sleep(Math.min(SERVE_ON_MS, settings.graceMs / 2));
+      await sleep(Math.min(SERVE_ON_MS, graceMs / 2));
       gateway.refuseNew();
       while (server.open > 0 && performance.now() < endAt) await sleep(50);
       server.abort();
--- a/programs/serving/startKeeper.ts
+++ b/programs/serving/startKeeper.ts
@@ -41,6 +41,8 @@
   const closeMetrics = serveMetrics(settings.ip, metricsPort, metrics);
   return {
     callerPort: 0,
+    // What a keeper needs of the settings can't change while it runs.
+    applySettings: () => undefined,
     leave: async () => {
       closeMetrics();
       keeper.close();
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -84,8 +84,11 @@
 
   #isRefusing = false;
 
+  #retryShare: number;
+
   constructor(options: GatewayOptions) {
     this.#options = options;
+    this.#retryShare = options.retryShare;
     this.#table = new ServerTable({
       ...options,
       engineOf: (service) => this.#deployment?.services.get(service)?.engine,
@@ -133,6 +136,12 @@
     this.#isRefusing = true;
   }
 
+  /** Puts another share of retries in force, for requests from now on. */
+  applyRetryShare(share: number): void {
+    this.#retryShare = share;
+    this.#budgets.clear();
+  }
+
   /** Puts a deployment in force, unless a newer one is. */
   applyDeployment(deployment: Deployment): void {
     const { log } = this.#options;
@@ -208,7 +217,7 @@
   #budgetOf(service: string): RetryBudget {
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      const perRequest = this.#options.retryShare * RETRY_SAFETY;
+      const perRequest = this.#retryShare * RETRY_SAFETY;
       budget = new RetryBudget({ perRequest, limit: SAVED_RETRIES });
       this.#budgets.set(service, budget);
     }
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -60,10 +60,13 @@
   /** When each entry was last heard of. */
   readonly #members = new Map<string, Milliseconds>();
 
+  #seeds: readonly string[];
+
   #cancel: (() => void) | undefined;
 
   constructor(options: PeerTaskOptions) {
     this.#options = options;
+    this.#seeds = options.seeds;
     this.#links = new LiveLinks({
       clock: options.clock,
       dial: options.dial,
@@ -86,6 +89,11 @@
     closed: () => undefined,
   });
 
+  /** Puts other seeds in force. */
+  applySeeds(seeds: readonly string[]): void {
+    this.#seeds = seeds;
+  }
+
   /** Begins to gossip. */
   start(): void {
     this.#choose();
@@ -103,13 +111,14 @@
 
   /** Links to the entries that come first for this one; to the seeds while too few are known. */
   #choose(): void {
-    const { address, seeds, clock } = this.#options;
+    const { address, clock } = this.#options;
     const now = clock.now();
     this.#members.forEach((heardAt, member) => {
       if (now - heardAt > FORGET_MS) this.#members.delete(member);
     });
     const chosen = rendezvousOrder(address, [...this.#members.keys()]).slice(0, LINKED_PEERS);
-    const others = chosen.length < LINKED_PEERS ? seeds.filter((seed) => seed !== address) : [];
+    const others =
+      chosen.length < LINKED_PEERS ? this.#seeds.filter((seed) => seed !== address) : [];
     const wanted = new Set([...chosen, ...others]);
     wanted.forEach((each) => this.#links.open(each));
     this.#links.addresses
--- a/tools/build/main.ts
+++ b/tools/build/main.ts
@@ -1,12 +1,15 @@
 import { execFileSync } from 'node:child_process';
-import { copyFileSync, mkdirSync, writeFileSync } from 'node:fs';
+import { copyFileSync, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { build } from 'esbuild';
 import type { Plugin } from 'esbuild';
 import { inject } from 'postject';
 import { takeLibraryParts } from './libraryParts.ts';
+import { SERVING_FLAGS } from './servingFlags.ts';
 
 const BUNDLE = 'dist/hyssopspread.cjs';
-const SERVING_BUNDLE = 'target/hyssopspread.cjs';
+const SERVING_BUNDLE = 'target/serving.cjs';
+const SERVING_LOADER = 'target/hyssopspread.cjs';
+const SERVING_CODE = 'target/serving.code';
 const BINARY = 'dist/hyssopspread';
 const BLOB = 'dist/hyssopspread.blob';
 const CONFIGURATION = 'dist/sea-config.json';
@@ -26,11 +29,10 @@
   },
 };
 
-/** Bundles the processes that run on the users' platform, without what only tools and tests need. */
-async function bundleServing(): Promise<void> {
+async function bundleForNode(from: string, to: string): Promise<void> {
   await build({
-    entryPoints: ['programs/serving/main.ts'],
-    outfile: SERVING_BUNDLE,
+    entryPoints: [from],
+    outfile: to,
     bundle: true,
     minify: true,
     keepNames: true,
@@ -42,6 +44,19 @@
   });
 }
 
+/**
+ * Bundles the processes that run on the users' platform, without what only tools and tests need, and
+ * compiles them ahead. V8 takes compiled code only under the flags that it was compiled with.
+ */
+async function bundleServing(): Promise<void> {
+  await bundleForNode('programs/serving/main.ts', SERVING_BUNDLE);
+  await bundleForNode('programs/serving/loader.ts', SERVING_LOADER);
+  rmSync(SERVING_CODE, { force: true });
+  execFileSync(process.execPath, [...SERVING_FLAGS, SERVING_LOADER, '--write-compiled-code'], {
+    stdio: 'ignore',
+  });
+}
+
 async function bundle(): Promise<void> {
   await build({
     entryPoints: ['cli/main.ts'],
