Read long prompts where they stop few streams; take unknown servers for slow; check peers' messages

Ruled out: the length of the loads' queue. Long prompts now go where they stop the fewest streams for the shortest time, loading the adapter if needed; a server inherits the speed of the one before it at its address; an unknown one counts as slow; costs never fall below the usual pause. Bytes that are no message between our processes threw in the receiver; they are now logged and passed over.

--- a/core/dispatch/chooseServer.test.ts
+++ b/core/dispatch/chooseServer.test.ts
@@ -90,6 +90,13 @@
       expect(hot.kind === 'send' && hot.replicateAt).to.not.equal(undefined);
     });
 
+    it('gets another copy when its slow holder has as much to do as the fast ones', () => {
+      const slow = view('slow', { holdings: { 'm/a1': 1 }, running: 30, pauseMs: 48 });
+      const others = ['b', 'c', 'd'].map((id) => view(id, { running: 30, pauseMs: 22 }));
+      const choice = chooseServer({ ...REQUEST, batchWidth: 40 }, [slow, ...others]);
+      expect(choice.kind === 'send' && choice.replicateAt).to.not.equal(undefined);
+    });
+
     it('gets no further copy while its holder keeps up', () => {
       const holder = view('a', { holdings: { 'm/a1': 1 }, running: 12 });
       const choice = chooseServer(REQUEST, [holder, view('b', { running: 5 })]);
@@ -103,6 +110,33 @@
     });
   });
 
+  describe('a long prompt', () => {
+    const long = { ...REQUEST, promptTokens: 7400 };
+
+    it('is read where it stops the fewest streams, even if the adapter is loaded first', () => {
+      const busy = view('busy', { holdings: { 'm/a1': 1 }, running: 50, pauseMs: 30 });
+      const calm = view('calm', { running: 10, pauseMs: 30 });
+      const choice = chooseServer(long, [busy, calm]);
+      expect(choice.kind === 'load' && choice.view).to.equal(calm);
+      expect(chooseServer(REQUEST, [busy, calm]).kind).to.equal('send');
+    });
+
+    it('is not read by a slow server whose streams it would stop for twice as long', () => {
+      const slow = view('slow', { holdings: { 'm/a1': 1 }, running: 14, pauseMs: 60 });
+      const fast = view('fast', { holdings: { 'm/a1': 1 }, running: 18, pauseMs: 25 });
+      const choice = chooseServer(long, [slow, fast]);
+      expect(choice.kind === 'send' && choice.view).to.equal(fast);
+    });
+
+    it('goes to the holder when no other server does much better or has a place', () => {
+      const holder = view('a', { holdings: { 'm/a1': 1 }, running: 14, pauseMs: 30 });
+      const like = view('b', { running: 10, pauseMs: 30 });
+      const full = view('c', { running: 0, freeablePlaces: 0 });
+      const choice = chooseServer(long, [holder, like, full]);
+      expect(choice.kind === 'send' && choice.view).to.equal(holder);
+    });
+  });
+
   describe('an adapter that no server holds', () => {
     it('goes to the server that held it last, whose load is quick', () => {
       const views = ['a', 'b', 'c', 'd'].map((id) => view(id));
@@ -218,6 +252,21 @@
     expect(made.versionOf('m/a1')).to.equal(1);
   });
 
+  it('knows a slow server by its first streams', () => {
+    const slow = view('slow');
+    const fast = view('fast');
+    for (let count = 0; count < 60; count += 1) {
+      slow.notePause(90, NOW);
+      fast.notePause(30, NOW);
+    }
+    expect(slow.usualPauseMs / fast.usualPauseMs).to.be.greaterThan(2);
+  });
+
+  it('is taken to be as fast as the server before it at its address', () => {
+    const before = view('a', { pauseMs: 100 });
+    expect(new ServerView(before.server, before).usualPauseMs).to.equal(before.usualPauseMs);
+  });
+
   it('forgets long pauses of a server that has made none for a while', () => {
     const made = view('a', { pauseMs: 400 });
     expect(made.pauseMs(NOW)).to.be.greaterThan(300);
--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -21,6 +21,8 @@
 export type ChoiceRequest = {
   /** The adapter or base model; absent on plain services. */
   readonly modelName?: ModelName;
+  /** Tokens of the prompt; absent where the caller does not say. */
+  readonly promptTokens?: number;
   /** The least version that may run the request. */
   readonly minVersion: number;
   /** Requests that one server runs at a time. */
@@ -68,9 +70,31 @@
 /** Extra cost, in requests, of a plain server in another zone; a crossing costs under a millisecond. */
 const OTHER_ZONE_COST = 0.5;
 
+/**
+ * Prompts above this stop all streams of their server for so long that many become late: the slowest
+ * servers read about twenty tokens in a millisecond, and streams may pause for a few hundred.
+ */
+const LONG_PROMPT_TOKENS = 4000;
+
+/** How many times as much harm a holder may do with a long prompt before a load elsewhere is better. */
+const LONG_PROMPT_PATIENCE = 1.5;
+
+/** Requests that count as harmed beside those that run, since the prompt's own request waits as well. */
+const OWN_HARM = 4;
+
+/** The pause that the next streams of a server may expect: no shorter than usual, longer while it is busy. */
+function expectedPause(view: ServerView, now: Milliseconds): Milliseconds {
+  return Math.max(view.pauseMs(now), view.usualPauseMs);
+}
+
 /** Cost of one more request at a server: its pauses, longer by what it has to begin and to run. */
 function costOf(view: ServerView, { batchWidth, now }: ChoiceRequest): number {
-  return view.pauseMs(now) * (1 + view.starting / 2 + view.load / batchWidth);
+  return expectedPause(view, now) * (1 + view.starting / 2 + view.load / batchWidth);
+}
+
+/** Harm of a long prompt at a server: streams that it stops, times the time for which it stops them. */
+function harmOf(view: ServerView): number {
+  return (view.load + OWN_HARM) * view.usualPauseMs;
 }
 
 function cheapest(
@@ -114,6 +138,10 @@
   return inOrder.find((view) => view.hasHeld(name)) ?? inOrder[0];
 }
 
+function meanOf(views: readonly ServerView[], value: (view: ServerView) => number): number {
+  return views.reduce((sum, view) => sum + value(view), 0) / Math.max(1, views.length);
+}
+
 /**
  * Returns what a server's load means beside that of the others: on a server that is half as fast,
  * requests stay twice as long and each prompt stops the others for twice as long.
@@ -123,10 +151,6 @@
   return (view) => (view.load * view.usualPauseMs) / usual;
 }
 
-function meanOf(views: readonly ServerView[], value: (view: ServerView) => number): number {
-  return views.reduce((sum, view) => sum + value(view), 0) / Math.max(1, views.length);
-}
-
 function mayLoad(view: ServerView, batchWidth: number): boolean {
   return view.keeper !== undefined && view.keeper.freeablePlaces > 0 && view.load < batchWidth;
 }
@@ -161,6 +185,27 @@
   return { kind: 'refuse', reason: 'no-place', retryAfterMs: FULL_RETRY_MS };
 }
 
+/**
+ * Chooses where a long prompt is read: where it stops the fewest streams for the shortest time, even if
+ * the adapter has to be loaded there first.
+ */
+function chooseForLongPrompt(
+  request: ChoiceRequest,
+  views: readonly ServerView[],
+  holders: readonly ServerView[],
+): Choice | undefined {
+  const { batchWidth, maxLoadWaitMs } = request;
+  const holder = cheapest(holders, harmOf);
+  const others = views.filter(
+    (view) =>
+      !holders.includes(view) && mayLoad(view, batchWidth) && loadWaitOf(view) <= maxLoadWaitMs,
+  );
+  const other = cheapest(others, harmOf);
+  if (other === undefined) return undefined;
+  const isEnough = holder !== undefined && harmOf(holder) <= harmOf(other) * LONG_PROMPT_PATIENCE;
+  return isEnough ? { kind: 'send', view: holder } : { kind: 'load', view: other };
+}
+
 /** Chooses a server for another copy of an adapter whose holders are busier than the others. */
 function chooseReplica(
   request: ChoiceRequest,
@@ -206,6 +251,10 @@
     return { kind: 'send', view: cheapest(open, cost)! };
   }
   const holders = open.filter((view) => view.holds(modelName, minVersion));
+  if ((request.promptTokens ?? 0) > LONG_PROMPT_TOKENS) {
+    const choice = chooseForLongPrompt(request, ready, holders);
+    if (choice !== undefined) return choice;
+  }
   const best = cheapest(holders, (view) => costOf(view, request));
   if (best === undefined) return chooseLoad(request, ready);
   const replicateAt = chooseReplica(request, ready, best);
--- a/core/dispatch/serverView.ts
+++ b/core/dispatch/serverView.ts
@@ -35,6 +35,15 @@
  */
 const ASSUMED_PAUSES = 20;
 
+/**
+ * Mean pause over a long time that is assumed of an unknown server: that of a slow one, so that it is not
+ * given more than it can serve before its first streams have shown its speed.
+ */
+const ASSUMED_USUAL_PAUSE_MS: Milliseconds = 45;
+
+/** Pauses that the speed of an earlier server at the same address counts for. */
+const INHERITED_PAUSES = 100;
+
 /** Pause between pieces that is assumed of a server that has made none lately. */
 const ASSUMED_PAUSE_MS: Milliseconds = 35;
 
@@ -76,13 +85,22 @@
 
   #pauseAt: Milliseconds = 0;
 
-  #usualPauseMs: Milliseconds = ASSUMED_PAUSE_MS;
+  #usualPauseMs: Milliseconds = ASSUMED_USUAL_PAUSE_MS;
 
   /** Pauses that the usual pause is the mean of. */
   #pauses = ASSUMED_PAUSES;
 
-  constructor(server: BackendServer) {
+  /**
+   * @param server The server's record.
+   * @param earlier What was known of a server before it at the same address; the same machine, most
+   *   likely, is as fast as it was.
+   */
+  constructor(server: BackendServer, earlier?: Pick<ServerView, 'usualPauseMs'>) {
     this.server = server;
+    if (earlier !== undefined) {
+      this.#usualPauseMs = earlier.usualPauseMs;
+      this.#pauses = INHERITED_PAUSES;
+    }
     this.#remember(server.holdings.map(({ name }) => name));
   }
 
--- a/core/mirror/recordMirror.ts
+++ b/core/mirror/recordMirror.ts
@@ -1,7 +1,7 @@
 /** One record as the store last had it; without `value`, it was removed. */
 export type MirroredRecord = {
   readonly key: string;
-  readonly value?: Uint8Array;
+  readonly value?: Uint8Array | undefined;
   /** The store's revision at its last change. */
   readonly revision: number;
 };
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -164,6 +164,12 @@
     message: 'The settings file cannot be used; what is known stays in force',
     remedy: 'Correct the file at the place that the error names',
   },
+  messageUnreadable: {
+    number: 'HS8023',
+    level: 'warn',
+    message: 'A message of another process cannot be read and is not used',
+    remedy: 'Run the same version on all hosts',
+  },
   deploymentTaken: {
     number: 'HS8001',
     level: 'info',
--- a/programs/serving/loader.ts
+++ b/programs/serving/loader.ts
@@ -30,8 +30,7 @@
 
 function compile(): { readonly script: Script; readonly code: CompiledCode } {
   const source = wrap(readFileSync(BUNDLE, 'utf8'));
-  if (!existsSync(COMPILED))
-    return { script: new Script(source, { filename: BUNDLE }), code: 'none' };
+  if (!existsSync(COMPILED)) return { script: new Script(source, { filename: BUNDLE }), code: 'none' };
   const cachedData = readFileSync(COMPILED);
   const script = new Script(source, { filename: BUNDLE, cachedData });
   return { script, code: script.cachedDataRejected === true ? 'rejected' : 'reused' };
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -31,6 +31,14 @@
   readonly left: (id: string) => void;
 };
 
+/** Servers that have left and whose speeds are remembered. */
+const DEPARTED_SERVERS = 500;
+
+/** Addresses may go to another service once their server is gone. */
+function placeOf({ service, address }: BackendServer): string {
+  return `${service} ${address}`;
+}
+
 /** The backend servers that one entry knows, with its connections to them and to their keepers. */
 export class ServerTable {
   readonly #options: ServerTableOptions;
@@ -39,6 +47,9 @@
 
   readonly #views = new Map<string, ServerView>();
 
+  /** Servers that have left, by service and address, the oldest first. */
+  readonly #departed = new Map<string, Pick<ServerView, 'usualPauseMs'>>();
+
   readonly #connections = new Map<string, BackendConnections>();
 
   readonly #links: KeeperLinks;
@@ -182,7 +193,7 @@
     });
     const handlers: Readonly<Record<FleetChange['kind'], () => void>> = {
       listed: () => {
-        this.#views.set(server.id, new ServerView(server));
+        this.#views.set(server.id, new ServerView(server, this.#departed.get(placeOf(server))));
         this.#openLink(server);
       },
       leaving: () => {
@@ -194,11 +205,21 @@
     handlers[change.kind]();
   }
 
+  #remember(server: BackendServer, usualPauseMs: Milliseconds): void {
+    this.#departed.delete(placeOf(server));
+    this.#departed.set(placeOf(server), { usualPauseMs });
+    const [oldest] = this.#departed.keys();
+    if (oldest !== undefined && this.#departed.size > DEPARTED_SERVERS) {
+      this.#departed.delete(oldest);
+    }
+  }
+
   #drop(server: BackendServer): void {
     const view = this.#views.get(server.id);
     this.#views.delete(server.id);
     this.#options.left(server.id);
     if (view === undefined) return;
+    this.#remember(server, view.usualPauseMs);
     const address = this.#keeperAddress(server);
     if (this.#viewsAt(address).length === 0) this.#links.close(address);
     view.keeper = undefined;
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -247,6 +247,7 @@
     const choice = chooseServer(
       {
         ...(modelName === undefined ? {} : { modelName }),
+        ...(head.promptTokens === undefined ? {} : { promptTokens: head.promptTokens }),
         minVersion,
         batchWidth: engine?.batchWidth ?? 1,
         maxLoadWaitMs,
--- a/tasks/gateway/keeperLinks.ts
+++ b/tasks/gateway/keeperLinks.ts
@@ -2,8 +2,8 @@
 import type { KeeperState } from '../../core/dispatch/mod.ts';
 import type { ModelName } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
-import { decodeMessage, encodeMessage } from '../keeper/mod.ts';
-import type { EntryMessage, KeeperMessage } from '../keeper/mod.ts';
+import { decodeKeeperMessage, encodeMessage } from '../keeper/mod.ts';
+import type { EntryMessage } from '../keeper/mod.ts';
 import { LiveLinks } from '../links/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 
@@ -87,10 +87,14 @@
   }
 
   #receive(address: string, bytes: Uint8Array): void {
-    const message = decodeMessage(bytes) as KeeperMessage;
-    const peer = this.#peers.get(address);
-    if (peer === undefined || message.kind !== 'state') return;
     const { log, clock, tell } = this.#options;
+    const peer = this.#peers.get(address);
+    if (peer === undefined) return;
+    const message = decodeKeeperMessage(bytes);
+    if (message === undefined) {
+      log('messageUnreadable', { from: address, bytes: bytes.length });
+      return;
+    }
     if (peer.state === undefined) log('keeperReady', { address });
     peer.fencingToken = Math.max(peer.fencingToken, message.fencingToken);
     peer.state = {
--- a/tasks/gateway/peerTask.test.ts
+++ b/tasks/gateway/peerTask.test.ts
@@ -105,4 +105,22 @@
     network.run(4000);
     expect(nodes[2]!.mirror.asOf).to.equal(3);
   });
+
+  it('goes on after bytes that are no message, and says so', () => {
+    const network = new FakeNetwork();
+    const events: string[] = [];
+    const task = new PeerTask({
+      address: 'a',
+      seeds: [],
+      mirrors: new Map(),
+      clock: network.clock,
+      dial: network.dialFrom('a'),
+      log: (event) => events.push(event),
+      tell: () => undefined,
+    });
+    const connection = { send: () => undefined, close: () => undefined };
+    const far = task.accept(connection);
+    [[0xc1], [], [0x93, 1, 2, 3]].forEach((bytes) => far.received(new Uint8Array(bytes)));
+    expect(events).to.deep.equal(Array(3).fill('messageUnreadable'));
+  });
 });
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -1,10 +1,10 @@
-import { Packr } from 'msgpackr';
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { MirrorNews, RecordMirror } from '../../core/mirror/mod.ts';
 import { rendezvousOrder } from '../../core/placement/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { LiveLinks } from '../links/mod.ts';
 import type { Accept, Dial } from '../ports/mod.ts';
+import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
 
 /** The copies that entries compare, by what their keys begin with. */
 export type Mirrors = ReadonlyMap<string, RecordMirror>;
@@ -23,18 +23,6 @@
   readonly tell: (prefix: string, news: MirrorNews) => void;
 };
 
-/** What entries say to each other. */
-type PeerMessage =
-  | {
-      readonly kind: 'digest';
-      readonly address: string;
-      /** Known entries and the time since each was heard of. */
-      readonly members: readonly (readonly [string, Milliseconds])[];
-      /** Revisions of the copies, by prefix. */
-      readonly asOf: Readonly<Record<string, number | undefined>>;
-    }
-  | { readonly kind: 'news'; readonly prefix: string; readonly news: MirrorNews };
-
 /** Entries to which one entry keeps links; enough that all hear of a change within a few periods. */
 const LINKED_PEERS = 4;
 
@@ -44,8 +32,6 @@
 /** Time after which an entry that was not heard of is forgotten. */
 const FORGET_MS: Milliseconds = 20_000;
 
-const packr = new Packr({ useRecords: false });
-
 /**
  * Gossip between entries: who there is, and whose copy of the store's records is the newest.
  *
@@ -129,20 +115,24 @@
   #digest(): Uint8Array {
     const { address, mirrors, clock } = this.#options;
     const now = clock.now();
-    const message: PeerMessage = {
+    return encodePeerMessage({
       kind: 'digest',
       address,
       members: [...this.#members].map(([member, heardAt]) => [member, now - heardAt] as const),
       asOf: Object.fromEntries([...mirrors].map(([prefix, mirror]) => [prefix, mirror.asOf])),
-    };
-    return packr.pack(message);
+    });
   }
 
   /** Takes a message; `isAccepted` where the other end dialled and so waits for a word. */
   #receive(bytes: Uint8Array, answer: (bytes: Uint8Array) => void, isAccepted = false): void {
-    const message = packr.unpack(bytes) as PeerMessage;
+    const message = decodePeerMessage(bytes);
+    if (message === undefined) {
+      this.#options.log('messageUnreadable', { from: 'an entry', bytes: bytes.length });
+      return;
+    }
     if (message.kind === 'news') {
-      this.#options.tell(message.prefix, message.news);
+      const { since, records, asOf } = message.news;
+      this.#options.tell(message.prefix, { since, records, asOf });
       return;
     }
     const { address, clock, mirrors } = this.#options;
@@ -156,7 +146,7 @@
     });
     mirrors.forEach((mirror, prefix) => {
       const news = mirror.newsSince(message.asOf[prefix]);
-      if (news !== undefined) answer(packr.pack({ kind: 'news', prefix, news }));
+      if (news !== undefined) answer(encodePeerMessage({ kind: 'news', prefix, news }));
     });
     if (isAccepted) answer(this.#digest());
   }
--- a/tasks/keeper/keeper.ts
+++ b/tasks/keeper/keeper.ts
@@ -5,8 +5,10 @@
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { EngineOrder, EngineReport, OrderAnswer } from '../../platform/mod.ts';
+import { dispatch } from '../_handlers.ts';
+import type { Handlers } from '../_handlers.ts';
 import type { Accept, Connection } from '../ports/mod.ts';
-import { decodeMessage, encodeMessage } from './messages.ts';
+import { decodeEntryMessage, encodeMessage } from './messages.ts';
 import type { EntryMessage, KeeperMessage } from './messages.ts';
 
 /** The engine that a keeper looks after. */
@@ -117,10 +119,12 @@
   }
 
   #receive(link: Link, bytes: Uint8Array): void {
-    const message = decodeMessage(bytes);
-    const handlers: {
-      readonly [K in EntryMessage['kind']]: (m: Extract<EntryMessage, { kind: K }>) => void;
-    } = {
+    const message = decodeEntryMessage(bytes);
+    if (message === undefined) {
+      this.#options.log('messageUnreadable', { from: link.entry, bytes: bytes.length });
+      return;
+    }
+    const handlers: Handlers<EntryMessage, void> = {
       hello: (hello) => this.#greet(link, hello),
       want: ({ name, version, waitMs }) => {
         this.#places.want(name, version, waitMs, this.#options.clock.now());
@@ -129,9 +133,7 @@
       use: ({ name, count }) =>
         this.#places.use(link.entry, name, count, this.#options.clock.now()),
     };
-    const handle = handlers[message.kind as EntryMessage['kind']] as
-      ((m: unknown) => void) | undefined;
-    handle?.(message);
+    dispatch(handlers, message);
   }
 
   #greet(link: Link, hello: Extract<EntryMessage, { kind: 'hello' }>): void {
--- a/tasks/keeper/messages.ts
+++ b/tasks/keeper/messages.ts
@@ -1,40 +1,67 @@
 import { Packr } from 'msgpackr';
-import type { Milliseconds } from '../../core/clock/mod.ts';
-import type { Engine, Holding, ModelName } from '../../core/serving/mod.ts';
+import * as z from 'zod/mini';
+
+const countSchema = z.number().check(z.nonnegative());
+
+const holdingSchema = z.object({ name: z.string(), version: z.number() });
+
+const baseModelSchema = z.object({
+  name: z.string(),
+  weightsMb: countSchema,
+  adapterMb: countSchema,
+});
+
+const engineSchema = z.object({
+  batchWidth: countSchema,
+  adapterPlaces: countSchema,
+  weightsMb: countSchema,
+  loadsPerSecond: countSchema,
+  models: z.readonly(z.array(baseModelSchema)),
+});
+
+/** Begins a link, and is sent again when the engine or its record changes. */
+const helloSchema = z.object({
+  kind: z.literal('hello'),
+  entry: z.string(),
+  engine: engineSchema,
+  serverId: z.string(),
+  bornAt: z.number(),
+  // The highest fencing token that the entry has heard of for this engine.
+  fencingToken: countSchema,
+});
+
+/** A request waits for an adapter. */
+const wantSchema = z.object({
+  kind: z.literal('want'),
+  name: z.string(),
+  version: countSchema,
+  waitMs: z.number(),
+});
+
+/** How many of the entry's requests use an adapter now. */
+const useSchema = z.object({ kind: z.literal('use'), name: z.string(), count: countSchema });
+
+const entryMessageSchema = z.discriminatedUnion('kind', [helloSchema, wantSchema, useSchema]);
+
+const keeperMessageSchema = z.object({
+  kind: z.literal('state'),
+  // Absent when the same as in the message before.
+  holdings: z.optional(z.readonly(z.array(holdingSchema))),
+  // Requests that the engine runs, and those that wait in it.
+  running: countSchema,
+  queued: countSchema,
+  // Places for adapters that are empty or could be emptied at once.
+  freeablePlaces: z.number(),
+  // Adapters that the keeper has been asked for and has not yet.
+  awaited: countSchema,
+  fencingToken: countSchema,
+});
 
 /** What an entry tells the keeper of an engine. */
-export type EntryMessage =
-  /** Begins a link, and is sent again when the engine or its record changes. */
-  | {
-      readonly kind: 'hello';
-      readonly entry: string;
-      readonly engine: Engine;
-      readonly serverId: string;
-      readonly bornAt: number;
-      /** The highest fencing token that the entry has heard of for this engine. */
-      readonly fencingToken: number;
-    }
-  /** A request waits for an adapter. */
-  | {
-      readonly kind: 'want';
-      readonly name: ModelName;
-      readonly version: number;
-      readonly waitMs: Milliseconds;
-    }
-  /** How many of the entry's requests use an adapter now. */
-  | { readonly kind: 'use'; readonly name: ModelName; readonly count: number };
+export type EntryMessage = Readonly<z.infer<typeof entryMessageSchema>>;
 
 /** What a keeper tells an entry. */
-export type KeeperMessage = {
-  readonly kind: 'state';
-  /** Absent when the same as in the message before. */
-  readonly holdings?: readonly Holding[];
-  readonly running: number;
-  readonly queued: number;
-  readonly freeablePlaces: number;
-  readonly awaited: number;
-  readonly fencingToken: number;
-};
+export type KeeperMessage = Readonly<z.infer<typeof keeperMessageSchema>>;
 
 const packr = new Packr({ useRecords: false });
 
@@ -43,15 +70,21 @@
   return packr.pack(message);
 }
 
-/**
- * Decodes a message of a keeper's link.
- *
- * @throws {Error} When the bytes are no message.
- */
-export function decodeMessage(bytes: Uint8Array): EntryMessage | KeeperMessage {
-  const value: unknown = packr.unpack(bytes);
-  if (typeof value !== 'object' || value === null || !('kind' in value)) {
-    throw new Error('the bytes are no message of a keeper link; check the versions of both ends');
+function unpack(bytes: Uint8Array): unknown {
+  try {
+    return packr.unpack(bytes);
+  } catch {
+    // Bytes that are no MessagePack are as unreadable as a wrong message, and end as one.
+    return undefined;
   }
-  return value as EntryMessage | KeeperMessage;
+}
+
+/** Decodes what an entry sent; `undefined` when the bytes are no message of an entry. */
+export function decodeEntryMessage(bytes: Uint8Array): EntryMessage | undefined {
+  return entryMessageSchema.safeParse(unpack(bytes)).data;
+}
+
+/** Decodes what a keeper sent; `undefined` when the bytes are no message of a keeper. */
+export function decodeKeeperMessage(bytes: Uint8Array): KeeperMessage | undefined {
+  return keeperMessageSchema.safeParse(unpack(bytes)).data;
 }
