Share retries over all entries; send callers away from a slow entry; split the start of the gateway

Retries saved up by an entry are its share of half the slack by the most entries that it ever knew of; one that has heard of none saves one. Before, each entry saved three, whatever their number and the slack. An entry that is behind its own timers by 60 ms and three times as far as the others now answers that it is not ready and asks callers to use new connections. A signal in the first moments of a process ended it: SIGHUP and SIGTERM are now heeded from the start (seen once as a failure of main.test.ts, which reads the first line of the log and signals at once).

--- a/carriage/callerServer.test.ts
+++ b/carriage/callerServer.test.ts
@@ -192,7 +192,7 @@
     });
 
     it('is asked to end with the next answer once the process leaves', async () => {
-      server.leave();
+      server.askToLeave();
       const received = await send('GET /1 HTTP/1.1\r\nHost: a\r\n\r\n').closed;
       expect(received).to.match(/connection: close/i);
       expect(received).to.match(/\r\n\r\nok$/);
--- a/carriage/callerServer.ts
+++ b/carriage/callerServer.ts
@@ -144,9 +144,9 @@
     return typeof bound === 'object' && bound !== null ? bound.port : 0;
   }
 
-  /** Tells callers with each answer to use another connection from now on. */
-  leave(): void {
-    this.#isLeaving = true;
+  /** Tells callers with each answer to use another connection, or no longer does. */
+  askToLeave(isLeaving = true): void {
+    this.#isLeaving = isLeaving;
   }
 
   /** Closes all connections. */
--- a/core/admission/mod.ts
+++ b/core/admission/mod.ts
@@ -5,3 +5,7 @@
 export type { WaitFacts } from './expectedWait.ts';
 export { RetryBudget } from './retryBudget.ts';
 export type { RetryBudgetOptions } from './retryBudget.ts';
+export { savedRetries } from './savedRetries.ts';
+export type { SavedRetriesTerms } from './savedRetries.ts';
+export { shouldShed } from './shedding.ts';
+export type { Strain } from './shedding.ts';
--- a/core/admission/retryBudget.ts
+++ b/core/admission/retryBudget.ts
@@ -4,6 +4,8 @@
   readonly perRequest?: number;
   /** Retries that may be saved up. @default 20 */
   readonly limit?: number;
+  /** Retries that are saved up at the start. @default as many as may be saved up */
+  readonly initial?: number;
 };
 
 /**
@@ -13,14 +15,20 @@
 export class RetryBudget {
   readonly #perRequest: number;
 
-  readonly #limit: number;
+  #limit: number;
 
   #saved: number;
 
   constructor(options: RetryBudgetOptions = {}) {
     this.#perRequest = options.perRequest ?? 0.1;
     this.#limit = options.limit ?? 20;
-    this.#saved = this.#limit;
+    this.#saved = Math.min(options.initial ?? this.#limit, this.#limit);
+  }
+
+  /** Puts another limit on what may be saved up. */
+  applyLimit(limit: number): void {
+    this.#limit = limit;
+    this.#saved = Math.min(this.#saved, limit);
   }
 
   /** Notes a first attempt. */
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -170,6 +170,18 @@
     message: 'A message of another process cannot be read and is not used',
     remedy: 'Run the same version on all hosts',
   },
+  sheddingBegun: {
+    number: 'HS8024',
+    level: 'warn',
+    message: 'The host is slow beside the others; callers are asked to use another entry',
+    remedy: 'Look at what else uses the processor of the host',
+  },
+  sheddingEnded: {
+    number: 'HS8025',
+    level: 'info',
+    message: 'Callers are taken again',
+    remedy: 'None needed',
+  },
   deploymentTaken: {
     number: 'HS8001',
     level: 'info',
--- a/programs/serving/loader.ts
+++ b/programs/serving/loader.ts
@@ -30,7 +30,9 @@
 
 function compile(): { readonly script: Script; readonly code: CompiledCode } {
   const source = wrap(readFileSync(BUNDLE, 'utf8'));
-  if (!existsSync(COMPILED)) return { script: new Script(source, { filename: BUNDLE }), code: 'none' };
+  if (!existsSync(COMPILED)) {
+    return { script: new Script(source, { filename: BUNDLE }), code: 'none' };
+  }
   const cachedData = readFileSync(COMPILED);
   const script = new Script(source, { filename: BUNDLE, cachedData });
   return { script, code: script.cachedDataRejected === true ? 'rejected' : 'reused' };
@@ -42,6 +44,9 @@
   wrapped(module.exports, createRequire(BUNDLE), module, BUNDLE, __dirname);
 }
 
+// A signal that comes before the process can read its settings must not end it; it reads them later.
+process.on('SIGHUP', () => undefined);
+
 const { script, code } = compile();
 process.env[COMPILED_CODE_VARIABLE] = code;
 run(script);
--- a/programs/serving/main.test.ts
+++ b/programs/serving/main.test.ts
@@ -43,6 +43,7 @@
       const [first] = (await once(output, 'data')) as [Buffer];
       expect(first.toString()).to.include('HS1001');
       output.destroy();
+      child.kill('SIGHUP');
       child.kill('SIGTERM');
       expect((await exit)[0]).to.equal(0);
     });
--- a/programs/serving/main.ts
+++ b/programs/serving/main.ts
@@ -19,6 +19,11 @@
 
 const WRONG_USE = 2;
 
+/** Lets a process serve what it has; one that is still starting has nothing. */
+async function stop(running: Running | undefined): Promise<void> {
+  await running?.leave();
+}
+
 async function main(role: string): Promise<void> {
   const start = ROLES[role];
   const path = process.env[SETTINGS_FILE_VARIABLE];
@@ -31,23 +36,23 @@
   }
   const file = new SettingsFile(path);
   const log = createLog({ stream: 'output', fields: { role, host: file.first.host } });
-  const running = await start(file.first, log, METRICS_PORT);
-  file.start({ clock: realClock, log, changed: (settings) => running.applySettings(settings) });
-  const compiledCode = process.env[COMPILED_CODE_VARIABLE] ?? 'none';
-  log('processStarted', { tookMs: Math.round(performance.now()), compiledCode });
+  let running: Running | undefined;
   process.on('SIGHUP', () => {
     file.look().catch((error: unknown) => log('settingsWrong', { error: String(error) }));
   });
   process.once('SIGTERM', () => {
     log('processStopping');
-    running
-      .leave()
+    stop(running)
       .catch((error: unknown) => log('internalError', { error: String(error) }))
       .finally(() => {
         log('processStopped');
         process.exit(0);
       });
   });
+  running = await start(file.first, log, METRICS_PORT);
+  file.start({ clock: realClock, log, changed: (settings) => running?.applySettings(settings) });
+  const compiledCode = process.env[COMPILED_CODE_VARIABLE] ?? 'none';
+  log('processStarted', { tookMs: Math.round(performance.now()), compiledCode });
 }
 
 // Without a reader of the log the process goes on; an error of the log can't be logged.
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -1,25 +1,15 @@
 import { randomUUID } from 'node:crypto';
-import polka from 'polka';
 import { CallerServer } from '../../carriage/mod.ts';
-import { RecordMirror } from '../../core/mirror/mod.ts';
-import type { MirrorNews, MirroredRecord } from '../../core/mirror/mod.ts';
+import type { Milliseconds } from '../../core/clock/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { Metrics } from '../../metrics/mod.ts';
-import {
-  decodeAdapterRelease,
-  decodeBackendServer,
-  decodeDeployment,
-  DEPLOYMENT_KEY,
-  OPERATOR_PREFIX,
-  READINESS_PATH,
-  RELEASE_PREFIX,
-  SERVER_PREFIX,
-  StoreClient,
-} from '../../platform/mod.ts';
-import type { ProcessSettings, SocketAddress } from '../../platform/mod.ts';
-import { Gateway, PeerTask, StoreTask } from '../../tasks/gateway/mod.ts';
-import type { Mirrors } from '../../tasks/gateway/mod.ts';
-import { dialWebSocket, listenWebSocket, realClock } from '../../transport/mod.ts';
+import type { ProcessSettings } from '../../platform/mod.ts';
+import { Gateway, StrainTask } from '../../tasks/gateway/mod.ts';
+import { dialWebSocket, realClock } from '../../transport/mod.ts';
+import { splitAddress } from './_splitAddress.ts';
+import { NO_PEERS, startPeers } from './_startPeers.ts';
+import { startReadiness } from './_startReadiness.ts';
+import { StoreRecords } from './_storeRecords.ts';
 import { serveMetrics } from './serveMetrics.ts';
 
 /** A process that serves until it is told to leave. */
@@ -39,105 +29,21 @@
   idleTimeoutMs: 15_000,
 } as const;
 
-/** Time in which changes of servers gather; a server that leaves must be left within two seconds. */
-const SERVERS_PACE_MS = 400;
-
 /** Time after the signal to stop during which new requests are still served: the balancer needs two seconds. */
-const SERVE_ON_MS = 2600;
+const SERVE_ON_MS: Milliseconds = 2600;
 
 /** Time before the end of the grace at which open requests are broken off. */
-const BREAK_OFF_MS = 400;
-
-const OK_STATUS = 200;
-
-const NOT_READY_STATUS = 503;
-
-function splitAddress(address: SocketAddress): { readonly ip: string; readonly port: number } {
-  const colon = address.lastIndexOf(':');
-  return { ip: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
-
-function applyOperatorRecord(gateway: Gateway, log: Log, record: MirroredRecord): void {
-  const { key, value } = record;
-  if (value === undefined) return;
-  try {
-    if (key === DEPLOYMENT_KEY) gateway.applyDeployment(decodeDeployment(value));
-    if (!key.startsWith(RELEASE_PREFIX)) return;
-    const release = decodeAdapterRelease(value);
-    if (release === undefined) log('recordUnreadable', { key });
-    else gateway.applyRelease(release.name, release.version);
-  } catch (error) {
-    log('recordUnreadable', { key, error: String(error) });
-  }
-}
+const BREAK_OFF_MS: Milliseconds = 400;
 
-function applyServerRecord(
-  gateway: Gateway,
-  log: Log,
-  record: MirroredRecord,
-  returnUntil: number | undefined,
-): void {
-  const { key, value } = record;
-  const id = key.slice(SERVER_PREFIX.length);
-  if (value === undefined) {
-    gateway.servers.remove(id, returnUntil);
-    return;
-  }
-  const server = decodeBackendServer(id, value);
-  if (server === undefined) log('recordUnreadable', { key });
-  else gateway.servers.put(server);
-}
+/** Time between looks whether a process that leaves has answered all its requests. */
+const LEAVING_LOOK_MS: Milliseconds = 50;
 
-function sleep(ms: number): Promise<void> {
+function sleep(ms: Milliseconds): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, ms);
   });
 }
 
-/** Takes news of one copy of the store's records; returns whether they changed it. */
-type TakeNews = (
-  prefix: string,
-  news: MirrorNews,
-  /** Until when removed records may come back. */
-  returnUntil: number | undefined,
-) => boolean;
-
-type Peers = {
-  readonly applySeeds: (seeds: readonly SocketAddress[]) => void;
-  readonly close: () => Promise<void>;
-};
-
-/** Starts gossip with the other entries, on hosts that have an address for it. */
-async function startPeers(
-  settings: ProcessSettings,
-  log: Log,
-  mirrors: Mirrors,
-  tell: (prefix: string, news: MirrorNews) => void,
-): Promise<Peers> {
-  const { peerAddress, seeds } = settings;
-  if (peerAddress === undefined) {
-    return { applySeeds: () => undefined, close: () => Promise.resolve() };
-  }
-  const peers = new PeerTask({
-    address: peerAddress,
-    seeds,
-    mirrors,
-    clock: realClock,
-    dial: dialWebSocket,
-    log,
-    tell,
-  });
-  const listener = await listenWebSocket(splitAddress(peerAddress), peers.accept);
-  peers.start();
-  return {
-    applySeeds: (changed) => peers.applySeeds(changed),
-    close: () => {
-      peers.close();
-      return listener.close();
-    },
-  };
-}
-
 /**
  * Starts the process that serves callers.
  *
@@ -149,12 +55,17 @@
   metricsPort = 0,
 ): Promise<Running> {
   const metrics = new Metrics();
-  const store = new StoreClient(settings.storeAddress);
+  let peers = NO_PEERS;
+  let isLeaving = false;
+  let isShedding = false;
+  let { graceMs } = settings;
   const gateway = new Gateway({
     entry: `${settings.host}/${randomUUID()}`,
     availabilityZone: settings.availabilityZone,
     keeperPort: settings.linkPort,
     retryShare: settings.retryShare,
+    retrySlack: settings.retrySlack,
+    entries: () => peers.mostEntries(),
     clock: realClock,
     dial: dialWebSocket,
     log,
@@ -166,70 +77,66 @@
     limits: FIRST_LIMITS,
     handle: (request) => gateway.handle(request),
   });
-  let isLeaving = false;
-  let { graceMs } = settings;
-  const mirrors = new Map([OPERATOR_PREFIX, SERVER_PREFIX].map((key) => [key, new RecordMirror()]));
-  const take: TakeNews = (prefix, news, returnUntil) => {
-    const changed = mirrors.get(prefix)?.apply(news) ?? [];
-    changed.forEach((record) => {
-      if (prefix === SERVER_PREFIX) applyServerRecord(gateway, log, record, returnUntil);
-      else applyOperatorRecord(gateway, log, record);
-    });
-    if (gateway.deployment !== undefined) server.applyLimits(gateway.deployment.callerLimits);
-    return changed.length > 0;
-  };
-  const tasks = new Map(
-    [...mirrors].map(([prefix, mirror]) => [
-      prefix,
-      new StoreTask({
-        store,
-        prefix,
-        mirror,
-        clock: realClock,
-        log,
-        random: Math.random,
-        paceMs: prefix === SERVER_PREFIX ? SERVERS_PACE_MS : 0,
-        tell: (news, returnUntil) => take(prefix, news, returnUntil),
-      }),
-    ]),
-  );
-  const peers = await startPeers(settings, log, mirrors, (prefix, news) => {
-    if (!take(prefix, news, tasks.get(prefix)?.returnUntil())) return;
-    log('peerTaught', { prefix, asOf: news.asOf });
+  const records = new StoreRecords({
+    storeAddress: settings.storeAddress,
+    gateway,
+    log,
+    changed: () => {
+      if (gateway.deployment !== undefined) server.applyLimits(gateway.deployment.callerLimits);
+    },
   });
-  const readiness = polka().get(READINESS_PATH, (_request, response) => {
-    response.statusCode = gateway.isReady && !isLeaving ? OK_STATUS : NOT_READY_STATUS;
-    response.end();
+  const strain = new StrainTask({
+    clock: realClock,
+    log,
+    metrics,
+    peerLagsMs: () => peers.lagsMs(),
+    changed: (next) => {
+      isShedding = next;
+      if (!isLeaving) server.askToLeave(next);
+    },
+  });
+  peers = await startPeers({
+    settings,
+    log,
+    mirrors: records.mirrors,
+    lagMs: () => strain.lagMs,
+    tell: (prefix, news) => records.learn(prefix, news),
   });
-  const ready = splitAddress(settings.readinessAddress ?? `${settings.ip}:0`);
-  readiness.listen({ host: ready.ip, port: ready.port });
+  const closeReadiness = startReadiness(
+    settings.readinessAddress ?? `${settings.ip}:0`,
+    () => gateway.isReady && !isLeaving && !isShedding,
+  );
   await server.listen();
   gateway.start();
-  tasks.forEach((task) => task.start());
+  strain.start();
+  records.start();
   metrics.gauge('open_requests', () => gateway.open);
   metrics.gauge('known_servers', () => gateway.servers.size);
   metrics.gauge('deployment_version', () => gateway.deployment?.version ?? 0);
   const closeMetrics = serveMetrics(settings.ip, metricsPort, metrics);
+
+  async function leave(): Promise<void> {
+    const endAt = performance.now() + graceMs - BREAK_OFF_MS;
+    isLeaving = true;
+    server.askToLeave();
+    await sleep(Math.min(SERVE_ON_MS, graceMs / 2));
+    gateway.refuseNew();
+    while (server.open > 0 && performance.now() < endAt) await sleep(LEAVING_LOOK_MS);
+    server.abort();
+    closeReadiness();
+    closeMetrics();
+    gateway.close();
+    strain.close();
+    await Promise.all([records.close(), peers.close()]);
+  }
+
   return {
     callerPort: server.port,
     applySettings: (changed) => {
       graceMs = changed.graceMs;
-      gateway.applyRetryShare(changed.retryShare);
+      gateway.applyRetries(changed);
       peers.applySeeds(changed.seeds);
     },
-    leave: async () => {
-      const endAt = performance.now() + graceMs - BREAK_OFF_MS;
-      isLeaving = true;
-      server.leave();
-      await sleep(Math.min(SERVE_ON_MS, graceMs / 2));
-      gateway.refuseNew();
-      while (server.open > 0 && performance.now() < endAt) await sleep(50);
-      server.abort();
-      readiness.server?.close();
-      closeMetrics();
-      gateway.close();
-      tasks.forEach((task) => task.close());
-      await Promise.all([store.close(), peers.close()]);
-    },
+    leave,
   };
 }
--- a/programs/serving/testing/servingWorld.ts
+++ b/programs/serving/testing/servingWorld.ts
@@ -138,7 +138,7 @@
     storeAddress,
     graceMs,
     retryShare: 0.2,
-    retryWindowMs: 10_000,
+    retrySlack: 200,
   };
   const keeper = await startKeeper(
     { ...settings, host: 'h2', ip: ENGINE_IP, backendAddress: engine.address },
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -19,6 +19,8 @@
 const digestSchema = z.object({
   kind: z.literal('digest'),
   address: z.string(),
+  // Mean time in milliseconds by which the sender is behind its timers.
+  lagMs: z.number(),
   // Known entries and the time in milliseconds since each was heard of.
   members: z.readonly(z.array(z.readonly(z.tuple([z.string(), z.number()])))),
   // Revisions of the copies, by prefix.
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import type { CallerRequest } from '../../carriage/mod.ts';
-import { Ejection, RetryBudget } from '../../core/admission/mod.ts';
+import { Ejection, RetryBudget, savedRetries } from '../../core/admission/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import { chooseServer, MISDIRECTED_STATUS, nextStep } from '../../core/dispatch/mod.ts';
 import type { SendingEnd, ServerView } from '../../core/dispatch/mod.ts';
@@ -26,6 +26,10 @@
   readonly keeperPort: number;
   /** Retries that each request allows, as a share. */
   readonly retryShare: number;
+  /** Further retries that a service takes from all entries together. */
+  readonly retrySlack: number;
+  /** The most entries that were ever known of; `undefined` before any other was. */
+  readonly entries: () => number | undefined;
   readonly clock: Clock;
   readonly dial: Dial;
   readonly log: Log;
@@ -40,9 +44,6 @@
 /** Time that requests have whose caller names none; used where the route names none either. */
 const DEFAULT_TIME_MS: Milliseconds = 30_000;
 
-/** Retries saved up by one entry; with a dozen entries they stay below what a service allows. */
-const SAVED_RETRIES = 3;
-
 /** Share of the allowed retries that is used, since requests are counted a little differently. */
 const RETRY_SAFETY = 0.8;
 
@@ -84,11 +85,11 @@
 
   #isRefusing = false;
 
-  #retryShare: number;
+  #retries: Pick<GatewayOptions, 'retryShare' | 'retrySlack'>;
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    this.#retryShare = options.retryShare;
+    this.#retries = options;
     this.#table = new ServerTable({
       ...options,
       engineOf: (service) => this.#deployment?.services.get(service)?.engine,
@@ -136,9 +137,9 @@
     this.#isRefusing = true;
   }
 
-  /** Puts another share of retries in force, for requests from now on. */
-  applyRetryShare(share: number): void {
-    this.#retryShare = share;
+  /** Puts other limits on retries in force; what was saved up is forgotten. */
+  applyRetries(retries: Pick<GatewayOptions, 'retryShare' | 'retrySlack'>): void {
+    this.#retries = retries;
     this.#budgets.clear();
   }
 
@@ -215,12 +216,17 @@
   }
 
   #budgetOf(service: string): RetryBudget {
+    const { retryShare, retrySlack } = this.#retries;
+    const limit = savedRetries({ slack: retrySlack, entries: this.#options.entries() });
     let budget = this.#budgets.get(service);
     if (budget === undefined) {
-      const perRequest = this.#retryShare * RETRY_SAFETY;
-      budget = new RetryBudget({ perRequest, limit: SAVED_RETRIES });
+      const perRequest = retryShare * RETRY_SAFETY;
+      // Soon after the start, too few of the others may be known to fill it up.
+      const initial = savedRetries({ slack: retrySlack, entries: undefined });
+      budget = new RetryBudget({ perRequest, limit, initial });
       this.#budgets.set(service, budget);
     }
+    budget.applyLimit(limit);
     return budget;
   }
 
--- a/tasks/gateway/mod.ts
+++ b/tasks/gateway/mod.ts
@@ -5,3 +5,5 @@
 export type { Mirrors, PeerTaskOptions } from './peerTask.ts';
 export { StoreTask } from './storeTask.ts';
 export type { RecordStore, StoreTaskOptions } from './storeTask.ts';
+export { StrainTask } from './strainTask.ts';
+export type { StrainTaskOptions } from './strainTask.ts';
--- a/tasks/gateway/peerTask.test.ts
+++ b/tasks/gateway/peerTask.test.ts
@@ -56,6 +56,7 @@
     mirrors: new Map([['op/', mirror]]),
     clock: network.clock,
     dial: network.dialFrom(address),
+    lagMs: () => address.length,
     log: () => undefined,
     tell: (_prefix, news) => mirror.apply(news),
   });
@@ -106,6 +107,16 @@
     expect(nodes[2]!.mirror.asOf).to.equal(3);
   });
 
+  it('hears how far the others are behind their timers, while they say so', () => {
+    const network = new FakeNetwork();
+    const nodes = ['a', 'bb', 'ccc'].map((name) => startNode(network, name, ['a']));
+    network.run(4000);
+    expect([...nodes[0]!.task.lagsMs].sort()).to.deep.equal([2, 3]);
+    network.cut.add('ccc');
+    network.run(4000);
+    expect(nodes[0]!.task.lagsMs).to.deep.equal([2]);
+  });
+
   it('goes on after bytes that are no message, and says so', () => {
     const network = new FakeNetwork();
     const events: string[] = [];
@@ -115,6 +126,7 @@
       mirrors: new Map(),
       clock: network.clock,
       dial: network.dialFrom('a'),
+      lagMs: () => 0,
       log: (event) => events.push(event),
       tell: () => undefined,
     });
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -19,6 +19,8 @@
   readonly clock: Clock;
   readonly dial: Dial;
   readonly log: Log;
+  /** How far this process is behind its timers. */
+  readonly lagMs: () => Milliseconds;
   /** Told of news that a peer has and the own copy lacks. */
   readonly tell: (prefix: string, news: MirrorNews) => void;
 };
@@ -29,6 +31,9 @@
 /** Time between digests. */
 const DIGEST_MS: Milliseconds = 400;
 
+/** Time for which the word of another entry on its own lag counts. */
+const FRESH_LAG_MS: Milliseconds = 2000;
+
 /** Time after which an entry that was not heard of is forgotten. */
 const FORGET_MS: Milliseconds = 20_000;
 
@@ -46,8 +51,13 @@
   /** When each entry was last heard of. */
   readonly #members = new Map<string, Milliseconds>();
 
+  /** How far other entries are behind their timers, with the time at which each said so. */
+  readonly #lags = new Map<string, { readonly lagMs: Milliseconds; readonly at: Milliseconds }>();
+
   #seeds: readonly string[];
 
+  #mostEntries: number | undefined;
+
   #cancel: (() => void) | undefined;
 
   constructor(options: PeerTaskOptions) {
@@ -68,6 +78,20 @@
     return [...this.#members.keys()];
   }
 
+  /** How far other entries are behind their timers, of those that said so of late. */
+  get lagsMs(): readonly Milliseconds[] {
+    const now = this.#options.clock.now();
+    this.#lags.forEach(({ at }, member) => {
+      if (now - at > FRESH_LAG_MS) this.#lags.delete(member);
+    });
+    return [...this.#lags.values()].map(({ lagMs }) => lagMs);
+  }
+
+  /** The most entries that were ever known, this one counted; `undefined` before any other was. */
+  get mostEntries(): number | undefined {
+    return this.#mostEntries;
+  }
+
   /** Accepts links of other entries. */
   readonly accept: Accept = (connection) => ({
     opened: () => undefined,
@@ -118,6 +142,7 @@
     return encodePeerMessage({
       kind: 'digest',
       address,
+      lagMs: this.#options.lagMs(),
       members: [...this.#members].map(([member, heardAt]) => [member, now - heardAt] as const),
       asOf: Object.fromEntries([...mirrors].map(([prefix, mirror]) => [prefix, mirror.asOf])),
     });
@@ -138,12 +163,14 @@
     const { address, clock, mirrors } = this.#options;
     const now = clock.now();
     this.#members.set(message.address, now);
+    this.#lags.set(message.address, { lagMs: message.lagMs, at: now });
     message.members.forEach(([member, ageMs]) => {
       const known = this.#members.get(member) ?? -Infinity;
       if (member !== address && ageMs < FORGET_MS) {
         this.#members.set(member, Math.max(known, now - ageMs));
       }
     });
+    this.#mostEntries = Math.max(this.#mostEntries ?? 0, this.#members.size + 1);
     mirrors.forEach((mirror, prefix) => {
       const news = mirror.newsSince(message.asOf[prefix]);
       if (news !== undefined) answer(encodePeerMessage({ kind: 'news', prefix, news }));
--- a/tools/mutants/guards.ts
+++ b/tools/mutants/guards.ts
@@ -271,8 +271,8 @@
   {
     name: 'a pinned adapter is no victim',
     file: 'core/residence/residence.ts',
-    guard: 'slot.pins === 0 && !this.#queues.has(name);',
-    without: '!this.#queues.has(name);',
+    guard: 'slot.pins === 0 && !this.#queues.has(name);\n      if (!isFree ||',
+    without: '!this.#queues.has(name);\n      if (!isFree ||',
     noticedBy: ['whole-answers'],
   },
 ];
