--- a/cli/main.ts
+++ b/cli/main.ts
@@ -13,6 +13,7 @@
 import { ReportBurnCommand } from './reportBurnCommand.ts';
 import { ScenarioRunCommand } from './scenarioRunCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
+import { SetDiffCommand } from './setDiffCommand.ts';
 import { SetPackCommand } from './setPackCommand.ts';
 import { SetShowCommand } from './setShowCommand.ts';
 import { SettingsCheckCommand } from './settingsCheckCommand.ts';
@@ -25,6 +26,8 @@
   binaryLabel: 'hyssopspread',
   binaryName: 'hyssopspread',
   binaryVersion: '0.1.0',
+  // Escape codes are for terminals only.
+  enableColors: process.stdout.isTTY === true,
 });
 
 [
@@ -44,6 +47,7 @@
   ReportBurnCommand,
   ScenarioRunCommand,
   SetCheckCommand,
+  SetDiffCommand,
   SetPackCommand,
   SetShowCommand,
   SettingsCheckCommand,
--- a/entry/createCallerHandler.test.ts
+++ b/entry/createCallerHandler.test.ts
@@ -35,6 +35,7 @@
           isAbandoned = true;
           onAbandoned();
         },
+        mayKnow: () => true,
         modelsOf: () => [],
       },
       maxUnreadBytes: MAX_UNREAD_BYTES,
@@ -54,4 +55,23 @@
     const unread = Number(logged[0]?.unreadBytes);
     expect(unread).to.be.within(MAX_UNREAD_BYTES, MAX_UNREAD_BYTES + CHUNK.length + EVENT_BYTES);
   });
+
+  it('answers a wrong token before it reads the body, whatever that is', async () => {
+    const handler = createCallerHandler({
+      task: {
+        submit: () => undefined,
+        abandon: () => undefined,
+        mayKnow: () => false,
+        modelsOf: () => [],
+      },
+      log: () => undefined,
+    });
+    const listener = await listenHttp({ ip: '127.0.0.1', port: 0 }, handler);
+    const socket = connect(listener.port, '127.0.0.1');
+    socket.write('POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\nnot json');
+    let answer = '';
+    for await (const piece of socket) answer += String(piece);
+    await listener.abort();
+    expect(answer).to.match(/^HTTP\/1\.1 401 [^]*connection: close/i);
+  });
 });
--- a/entry/createCallerHandler.ts
+++ b/entry/createCallerHandler.ts
@@ -8,6 +8,7 @@
 import { readBody, respondJson } from '../http/mod.ts';
 import type { HttpHandler } from '../http/mod.ts';
 import type { Log } from '../log/mod.ts';
+import { UNKNOWN_TOKEN } from '../tasks/entry/mod.ts';
 import type { CallerRequest, EntryTask, SubmissionEvent } from '../tasks/entry/mod.ts';
 import { AnswerWriter } from './_answerWriter.ts';
 import { readCompletionBody } from './_completionBody.ts';
@@ -15,7 +16,7 @@
 import { outcomeError, outcomeHeaders, outcomeStatus } from './outcomeStatus.ts';
 
 /** What the handler needs of an entry's task. */
-export type RequestServer = Pick<EntryTask, 'submit' | 'abandon' | 'modelsOf'>;
+export type RequestServer = Pick<EntryTask, 'submit' | 'abandon' | 'mayKnow' | 'modelsOf'>;
 
 /** How to build the handler of callers' requests. */
 export type CallerHandlerOptions = {
@@ -130,7 +131,14 @@
     respondJson(reply.response, 200, { object: 'list', data });
   }
 
+  /** Reads a body; that of a caller without a token is not even read. */
   async #readText(reply: Reply): Promise<string | undefined> {
+    if (!this.#task.mayKnow(tokenOf(reply.request))) {
+      reply.request.resume();
+      reply.response.setHeader('Connection', 'close');
+      refuse(reply.response, reply.name, UNKNOWN_TOKEN);
+      return undefined;
+    }
     const reading = await readBody(reply.request, this.#maxBodyBytes);
     if (reading.kind === 'body') return reading.text;
     const { response, name } = reply;
--- a/log/createLog.ts
+++ b/log/createLog.ts
@@ -1,6 +1,7 @@
 import winston from 'winston';
 import { LOG_EVENTS } from './catalogue.ts';
 import type { Level, Log } from './catalogue.ts';
+import { tidyFields } from './_tidyFields.ts';
 
 /** How to build a log. */
 export type LogOptions = {
@@ -53,7 +54,8 @@
       return;
     }
     const { level: eventLevel, message, number } = event;
-    logger.log({ level: eventLevel, message, number, ...values, ...(dropped > 0 && { dropped }) });
+    const line = { level: eventLevel, message, number, ...tidyFields(values) };
+    logger.log(dropped > 0 ? { ...line, dropped } : line);
     dropped = 0;
   };
 }
--- a/tasks/entry/entryTask.ts
+++ b/tasks/entry/entryTask.ts
@@ -27,6 +27,7 @@
 import { LinkTask } from './linkTask.ts';
 import type { LinkNews, LinkStatus } from './linkTask.ts';
 import type { Submission, SubmissionEvent } from './request.ts';
+import { UNKNOWN_TOKEN } from './unknownToken.ts';
 
 /** How to build an `EntryTask`. */
 export type EntryTaskOptions = {
@@ -217,6 +218,11 @@
     return [...routes.map((route) => route.name), ...versions];
   }
 
+  /** Tells whether a token may be a caller's: it is one, or no set says yet which ones are. */
+  mayKnow(tokenSha256: string): boolean {
+    return this.#set === undefined || this.#set.callersByToken.has(tokenSha256);
+  }
+
   readonly #handlers: Handlers<Message, void> = {
     hosts: ({ hosts }) => {
       this.#limits.applyHosts(hosts);
@@ -336,7 +342,7 @@
     }
     const caller = set.callersByToken.get(submission.tokenSha256);
     if (caller === undefined) {
-      return notRun('unauthorized', 'the bearer token is not known; use one from your operators');
+      return UNKNOWN_TOKEN;
     }
     const plan = planCall(set, caller.tenant, submission.request);
     if (plan.kind === 'not-run') return plan;
--- a/tasks/entry/mod.ts
+++ b/tasks/entry/mod.ts
@@ -4,6 +4,7 @@
 export { explainPlacement } from './explainPlacement.ts';
 export type { ExplainedCandidate, PlacementExplanation } from './explainPlacement.ts';
 export type { LinkStatus } from './linkTask.ts';
+export { UNKNOWN_TOKEN } from './unknownToken.ts';
 export type {
   CallerRequest,
   CompletionRequest,
