--- a/log/_tidyFields.ts
+++ b/log/_tidyFields.ts
@@ -1,7 +1,7 @@
 import type { LogFields } from './catalogue.ts';
 
 /** Digits behind the point that a logged number keeps. */
-const LOGGED_DIGITS = 1;
+const LOGGED_DIGITS = 3;
 
 /** Leaves out fields without a value, and digits of numbers that nobody reads. */
 export function tidyFields(values: LogFields): LogFields {
