--- a/programs/serving/serving.test.ts
+++ b/programs/serving/serving.test.ts
@@ -229,6 +229,13 @@
       expect(Number(result.headers['retry-after'])).to.be.greaterThan(0);
     });
 
+    it('waits for the configuration that comes right after the start', async () => {
+      await start({ hasDeployment: false });
+      const call = world.call({ id: 'r1', path: '/book/1' });
+      world.store.putDeployment(sampleDeployment());
+      expect((await call).status).to.equal(200);
+    });
+
     it('is 404 where no route matches', async () => {
       await start();
       expect((await world.call({ id: 'r1', path: '/other/1' })).status).to.equal(404);
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
 import { noteBegun, passAnswer } from './_passAnswer.ts';
 import { ServerTable } from './_serverTable.ts';
+import { StartingHold } from './_startingHold.ts';
 
 /** How to build a `Gateway`. */
 export type GatewayOptions = {
@@ -71,6 +72,8 @@
 
   readonly #table: ServerTable;
 
+  readonly #hold: StartingHold;
+
   readonly #budgets = new Map<string, RetryBudget>();
 
   readonly #ejection = new Ejection();
@@ -90,6 +93,7 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     this.#retries = options;
+    this.#hold = new StartingHold(options.clock);
     this.#table = new ServerTable({
       ...options,
       engineOf: (service) => this.#deployment?.services.get(service)?.engine,
@@ -166,6 +170,24 @@
 
   /** Serves one request of a caller. */
   handle(caller: CallerRequest): void {
+    const acceptedAt = this.#options.clock.now();
+    if (this.isReady || this.#isRefusing || !this.#hold.isOpen) {
+      this.#begin(caller, acceptedAt);
+      return;
+    }
+    let isGone = false;
+    caller.answer.onGone(() => {
+      isGone = true;
+    });
+    const look = (): void => {
+      if (isGone) return;
+      if (this.isReady || this.#isRefusing || !this.#hold.isOpen) this.#begin(caller, acceptedAt);
+      else this.#hold.again(look);
+    };
+    this.#hold.again(look);
+  }
+
+  #begin(caller: CallerRequest, acceptedAt: Milliseconds): void {
     const head = decodeRequestHead(caller.headers);
     const { clock } = this.#options;
     const deployment = this.#deployment;
@@ -183,15 +205,15 @@
       this.#logEnd(head.requestId, 'no-route', { version: deployment.version });
       return;
     }
-    const now = clock.now();
     const timeMs = Math.min(head.deadlineMs ?? DEFAULT_TIME_MS, route.timeoutMs);
+    const dueAt = acceptedAt + timeMs - ANSWER_MARGIN_MS;
     const request: OpenRequest = {
       caller,
       head,
       route,
       service,
-      acceptedAt: now,
-      dueAt: now + timeMs - ANSWER_MARGIN_MS,
+      acceptedAt,
+      dueAt,
       cutter: route.repeatability === 'resumable' ? new EventCutter() : undefined,
       tried: new Set(),
       mayHaveRun: 0,
@@ -210,7 +232,7 @@
     };
     this.#open.add(request);
     this.#budgetOf(service.name).noteRequest();
-    request.cancelTimers.push(clock.schedule(request.dueAt - now, () => this.#giveUp(request)));
+    request.cancelTimers.push(clock.schedule(dueAt - clock.now(), () => this.#giveUp(request)));
     caller.answer.onGone(() => this.#end(request, 'caller-gone'));
     this.#place(request);
   }
@@ -263,7 +285,11 @@
       this.#viewsOf(service, request.tried),
     );
     this.#options.log('requestPlaced', describeChoice(request, choice, now, this.#deployment));
-    if (choice.kind === 'refuse') {
+    if (choice.kind === 'refuse' && this.#hold.isOpen && request.tried.size === 0) {
+      this.#hold.again(() => {
+        if (!request.isOver) this.#place(request);
+      });
+    } else if (choice.kind === 'refuse') {
       this.#refuse(request, choice.reason, choice.retryAfterMs);
     } else if (choice.kind === 'load') {
       this.#awaitAdapter(request, choice.view, maxLoadWaitMs);
