--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -168,10 +168,10 @@
     if (version > known) this.#options.log('releaseTaken', { adapter: name, version });
   }
 
-  /** Serves one request of a caller. */
+  /** Serves one request of a caller; right after the start, once it is known whom it can be sent to. */
   handle(caller: CallerRequest): void {
     const acceptedAt = this.#options.clock.now();
-    if (this.isReady || this.#isRefusing || !this.#hold.isOpen) {
+    if (this.#mayBegin) {
       this.#begin(caller, acceptedAt);
       return;
     }
@@ -181,12 +181,17 @@
     });
     const look = (): void => {
       if (isGone) return;
-      if (this.isReady || this.#isRefusing || !this.#hold.isOpen) this.#begin(caller, acceptedAt);
+      if (this.#mayBegin) this.#begin(caller, acceptedAt);
       else this.#hold.again(look);
     };
     this.#hold.again(look);
   }
 
+  /** Whether waiting for what a starting process has yet to learn would be in vain. */
+  get #mayBegin(): boolean {
+    return this.isReady || this.#isRefusing || !this.#hold.isOpen;
+  }
+
   #begin(caller: CallerRequest, acceptedAt: Milliseconds): void {
     const head = decodeRequestHead(caller.headers);
     const { clock } = this.#options;
