--- a/cli/main.ts
+++ b/cli/main.ts
@@ -10,6 +10,7 @@
 import { DemoCommand } from './demoCommand.ts';
 import { EntryCommand } from './entryCommand.ts';
 import { ExplainCommand } from './explainCommand.ts';
+import { LogsTraceCommand } from './logsTraceCommand.ts';
 import { ReportBurnCommand } from './reportBurnCommand.ts';
 import { ScenarioRunCommand } from './scenarioRunCommand.ts';
 import { SetCheckCommand } from './setCheckCommand.ts';
@@ -44,6 +45,7 @@
   DemoCommand,
   EntryCommand,
   ExplainCommand,
+  LogsTraceCommand,
   ReportBurnCommand,
   ScenarioRunCommand,
   SetCheckCommand,
