--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -54,6 +54,18 @@
 /** Time for which callers stay away while this process knows no deployment; the store may be down. */
 const STARTING_RETRY_MS: Milliseconds = 1200;
 
+/** Time for which callers stay away when an adapter was not loaded in time; two loads end meanwhile. */
+const LOAD_LATE_RETRY_MS: Milliseconds = 500;
+
+/** Time for which callers stay away when servers did not run a request; a place comes free that often. */
+const NOT_RUN_RETRY_MS: Milliseconds = 300;
+
+/** The least urgent priority that engines know. */
+const LAST_PRIORITY = 9;
+
+/** Silence that every server may keep: answers of sound ones take some tens of milliseconds. */
+const LEAST_SILENCE_MS: Milliseconds = 50;
+
 /** Time for which callers stay away from a process that leaves; others serve them at once. */
 const LEAVING_RETRY_MS: Milliseconds = 50;
 
@@ -198,7 +210,7 @@
     const deployment = this.#deployment;
     if (deployment === undefined || this.#isRefusing) {
       const retryMs = this.#isRefusing ? LEAVING_RETRY_MS : STARTING_RETRY_MS;
-      answerOwn(caller, 503, this.#retryAfter(retryMs, head.deadlineMs));
+      answerOwn(caller, 'refused', this.#retryAfter(retryMs, head.deadlineMs));
       this.#logEnd(head.requestId, 'starting', { isLeaving: this.#isRefusing });
       return;
     }
@@ -206,7 +218,7 @@
     const name = route === undefined ? undefined : selectService(route, head.requestId);
     const service = name === undefined ? undefined : deployment.services.get(name);
     if (route === undefined || service === undefined) {
-      answerOwn(caller, 404);
+      answerOwn(caller, 'no-route');
       this.#logEnd(head.requestId, 'no-route', { version: deployment.version });
       return;
     }
@@ -314,7 +326,9 @@
     this.#table.want(view, name, this.#minVersion(name), waitMs);
     request.cancelTimers.push(
       clock.schedule(waitMs, () => {
-        if (request.isAwaiting && request.view === view) this.#refuse(request, 'load-late', 500);
+        if (request.isAwaiting && request.view === view) {
+          this.#refuse(request, 'load-late', LOAD_LATE_RETRY_MS);
+        }
       }),
     );
   }
@@ -341,7 +355,9 @@
           serverId: view.server.id,
           ...(version > 0 && { version }),
           ...(request.cutter?.lastId !== undefined && { lastEventId: request.cutter.lastId }),
-          ...(request.service.engine !== undefined && { priority: Math.min(9, route.priority) }),
+          ...(request.service.engine !== undefined && {
+            priority: Math.min(LAST_PRIORITY, route.priority),
+          }),
         }),
         body: caller.body,
         needsLiveConnection: route.repeatability === 'once',
@@ -368,7 +384,7 @@
   #watchSilence(request: OpenRequest, number: number): void {
     const { route } = request;
     if (route.repeatability === 'once') return;
-    const silentMs = Math.max(50, route.objectiveMs * SILENT_OBJECTIVES);
+    const silentMs = Math.max(LEAST_SILENCE_MS, route.objectiveMs * SILENT_OBJECTIVES);
     request.cancelTimers.push(
       this.#options.clock.schedule(silentMs, () => {
         const isCurrent = !request.isOver && request.sendingNumber === number;
@@ -427,9 +443,9 @@
     } else if (request.caller.answer.hasBegun()) {
       this.#breakOff(request);
     } else if (request.mayHaveRun === 0) {
-      this.#refuse(request, step === 'again' ? 'retry-budget' : end, 300);
+      this.#refuse(request, step === 'again' ? 'retry-budget' : end, NOT_RUN_RETRY_MS);
     } else {
-      answerOwn(request.caller, 502);
+      answerOwn(request.caller, 'unknown');
       this.#end(request, 'unknown');
     }
   }
@@ -446,7 +462,7 @@
     if (request.caller.answer.hasBegun()) {
       this.#breakOff(request);
     } else if (request.mayHaveRun === 0 && request.sending === undefined) {
-      this.#refuse(request, 'deadline', 300);
+      this.#refuse(request, 'deadline', NOT_RUN_RETRY_MS);
     } else {
       if (request.view !== undefined) {
         this.#ejection.note(
@@ -455,7 +471,7 @@
           this.#options.clock.now(),
         );
       }
-      answerOwn(request.caller, 504);
+      answerOwn(request.caller, 'late');
       this.#end(request, 'unknown');
     }
   }
@@ -472,12 +488,12 @@
       return;
     }
     if (request.mayHaveRun > 0 && request.route.repeatability === 'once') {
-      answerOwn(request.caller, 502);
+      answerOwn(request.caller, 'unknown');
       this.#end(request, 'unknown', { reason });
       return;
     }
     const leftMs = request.dueAt - this.#options.clock.now();
-    answerOwn(request.caller, 503, this.#retryAfter(retryAfterMs, leftMs));
+    answerOwn(request.caller, 'refused', this.#retryAfter(retryAfterMs, leftMs));
     this.#end(request, 'refused', { reason });
   }
 
