--- a/carriage/backendConnections.ts
+++ b/carriage/backendConnections.ts
@@ -76,11 +76,6 @@
     this.#options = { maxConnections: 90, connectMs: 600, liveMs: 700, ...options };
   }
 
-  /** Connections that are open or being opened. */
-  get size(): number {
-    return this.#all.size;
-  }
-
   /** Sends a request. */
   send(request: BackendRequest, events: AnswerEvents): Sending {
     const connection = this.#take(request.needsLiveConnection);
--- a/tasks/links/liveLinks.ts
+++ b/tasks/links/liveLinks.ts
@@ -49,11 +49,6 @@
     return [...this.#links.keys()];
   }
 
-  /** Whether there is a link to an address. */
-  has(address: string): boolean {
-    return this.#links.has(address);
-  }
-
   /** Opens a link and keeps it open. */
   open(address: string): void {
     if (this.#links.has(address)) return;
