--- a/admin/_compareSets.ts
+++ b/admin/_compareSets.ts
@@ -1,3 +1,4 @@
+import { compareByName } from '../core/set/mod.ts';
 import type { PublishedSet, SetObject } from '../core/set/mod.ts';
 
 /** How one kind of object differs. */
@@ -30,17 +31,10 @@
 }
 
 function compareTables(old: Table | undefined, proposed: Table): KindDifference {
-  const before = byName(old);
-  const after = byName(proposed);
-  const added = [...after.keys()].filter((name) => !before.has(name));
-  const removed = [...before.keys()].filter((name) => !after.has(name));
-  const changed = [...after].filter(([name, object]) => {
-    const known = before.get(name);
-    return known !== undefined && JSON.stringify(known) !== JSON.stringify(object);
-  });
+  const { added, changed, removed } = compareByName(byName(old), byName(proposed));
   const names = [
     ...added.map((name) => `+${name}`),
-    ...changed.map(([name]) => `~${name}`),
+    ...changed.map((name) => `~${name}`),
     ...removed.map((name) => `-${name}`),
   ];
   return {
--- a/carriage/callerServer.test.ts
+++ b/carriage/callerServer.test.ts
@@ -1,10 +1,11 @@
 import { expect } from 'chai';
 import { CallerServer } from './mod.ts';
-import type { CallerRequest, CallerServerLimits } from './mod.ts';
+import type { CallerRequest } from './mod.ts';
+import type { CallerLimits } from '../core/serving/mod.ts';
 import { openRawConnection } from './testing/rawConnection.ts';
 import type { RawConnection } from './testing/rawConnection.ts';
 
-const LIMITS: CallerServerLimits = {
+const LIMITS: CallerLimits = {
   maxHeaderBytes: 4096,
   maxBodyBytes: 1000,
   headerTimeoutMs: 200,
--- a/carriage/callerServer.ts
+++ b/carriage/callerServer.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Milliseconds } from '../core/clock/mod.ts';
+import type { CallerLimits } from '../core/serving/mod.ts';
 import { HeaderWatch } from './_headerWatch.ts';
 
 /** A caller's request whose body has been read whole. */
@@ -45,19 +45,11 @@
   readonly onGone: (run: () => void) => void;
 };
 
-/** What callers may send and how long they may take. */
-export type CallerServerLimits = {
-  readonly maxHeaderBytes: number;
-  readonly maxBodyBytes: number;
-  readonly headerTimeoutMs: Milliseconds;
-  readonly idleTimeoutMs: Milliseconds;
-};
-
 /** How to build a `CallerServer`. */
 export type CallerServerOptions = {
   readonly ip: string;
   readonly port: number;
-  readonly limits: CallerServerLimits;
+  readonly limits: CallerLimits;
   readonly handle: (request: CallerRequest) => void;
 };
 
@@ -92,7 +84,7 @@
 
   readonly #headerWatch: HeaderWatch;
 
-  #limits: CallerServerLimits;
+  #limits: CallerLimits;
 
   #isLeaving = false;
 
@@ -121,7 +113,7 @@
   }
 
   /** Puts new limits in force. */
-  applyLimits(limits: CallerServerLimits): void {
+  applyLimits(limits: CallerLimits): void {
     this.#limits = limits;
     this.#headerWatch.applyLimit(limits.headerTimeoutMs);
     // Ends connections that were opened and never used.
--- a/carriage/mod.ts
+++ b/carriage/mod.ts
@@ -11,6 +11,5 @@
   CallerAnswer,
   CallerAnswerHead,
   CallerRequest,
-  CallerServerLimits,
   CallerServerOptions,
 } from './callerServer.ts';
--- a/cli/setDiffCommand.ts
+++ b/cli/setDiffCommand.ts
@@ -1,4 +1,5 @@
 import { Command, Option } from 'clipanion';
+import { compareByName } from '../core/set/mod.ts';
 import type { SetObject } from '../core/set/mod.ts';
 import { checkSetFiles } from './_checkSetFiles.ts';
 
@@ -8,25 +9,19 @@
 /** Exit code when a set cannot be read. */
 const UNREADABLE = 2;
 
-function byName(objects: readonly SetObject[]): ReadonlyMap<string, string> {
-  return new Map(
-    objects.map((object) => [`${object.kind} ${object.name}`, JSON.stringify(object)]),
-  );
+function byName(objects: readonly SetObject[]): ReadonlyMap<string, SetObject> {
+  return new Map(objects.map((object) => [`${object.kind} ${object.name}`, object]));
 }
 
-/** Returns a line for each object that differs: `+`, `~` or `-`, its kind and its name. */
-function compareObjects(
+/** Returns a line for each object that differs: `-`, `~` or `+`, its kind and its name. */
+function describeDifference(
   before: readonly SetObject[],
   after: readonly SetObject[],
 ): readonly string[] {
-  const old = byName(before);
-  const proposed = byName(after);
-  const removed = [...old.keys()].filter((name) => !proposed.has(name));
-  const changed = [...proposed].filter(([name, text]) => old.has(name) && old.get(name) !== text);
-  const added = [...proposed.keys()].filter((name) => !old.has(name));
+  const { added, changed, removed } = compareByName(byName(before), byName(after));
   return [
     ...removed.map((name) => `- ${name}`),
-    ...changed.map(([name]) => `~ ${name}`),
+    ...changed.map((name) => `~ ${name}`),
     ...added.map((name) => `+ ${name}`),
   ];
 }
@@ -57,7 +52,7 @@
       });
       return UNREADABLE;
     }
-    const lines = compareObjects(before.objects, after.objects);
+    const lines = describeDifference(before.objects, after.objects);
     lines.forEach((line) => this.context.stdout.write(`${line}\n`));
     return lines.length === 0 ? 0 : DIFFERENT;
   }
--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -155,6 +155,11 @@
   return view.keeper !== undefined && view.keeper.freeablePlaces > 0 && view.load < batchWidth;
 }
 
+/** Whether a server could load an adapter before the request's wait is over. */
+function canLoadInTime(view: ServerView, { batchWidth, maxLoadWaitMs }: ChoiceRequest): boolean {
+  return mayLoad(view, batchWidth) && loadWaitOf(view) <= maxLoadWaitMs;
+}
+
 /** Servers that may take one more adapter without falling behind the others. */
 function calmOf(request: ChoiceRequest, views: readonly ServerView[]): readonly ServerView[] {
   const { batchWidth, maxLoadWaitMs, now } = request;
@@ -174,14 +179,10 @@
  * Servers that are busier than the others are passed over.
  */
 function chooseLoad(request: ChoiceRequest, views: readonly ServerView[]): Choice {
-  const { modelName = '', batchWidth, maxLoadWaitMs } = request;
-  const home = homeOf(modelName, calmOf(request, views));
-  if (home !== undefined) return { kind: 'load', view: home };
-  const open = views.filter((view) => mayLoad(view, batchWidth));
-  const quickest = cheapest(open, loadWaitOf);
-  if (quickest !== undefined && loadWaitOf(quickest) <= maxLoadWaitMs) {
-    return { kind: 'load', view: quickest };
-  }
+  const { modelName = '' } = request;
+  const inTime = views.filter((view) => canLoadInTime(view, request));
+  const view = homeOf(modelName, calmOf(request, views)) ?? cheapest(inTime, loadWaitOf);
+  if (view !== undefined) return { kind: 'load', view };
   return { kind: 'refuse', reason: 'no-place', retryAfterMs: FULL_RETRY_MS };
 }
 
@@ -194,12 +195,8 @@
   views: readonly ServerView[],
   holders: readonly ServerView[],
 ): Choice | undefined {
-  const { batchWidth, maxLoadWaitMs } = request;
   const holder = cheapest(holders, harmOf);
-  const others = views.filter(
-    (view) =>
-      !holders.includes(view) && mayLoad(view, batchWidth) && loadWaitOf(view) <= maxLoadWaitMs,
-  );
+  const others = views.filter((view) => !holders.includes(view) && canLoadInTime(view, request));
   const other = cheapest(others, harmOf);
   if (other === undefined) return undefined;
   const isEnough = holder !== undefined && harmOf(holder) <= harmOf(other) * LONG_PROMPT_PATIENCE;
--- a/core/dispatch/judgeAnswer.ts
+++ b/core/dispatch/judgeAnswer.ts
@@ -1,4 +1,5 @@
-import type { Repeatability } from '../serving/mod.ts';
+import { mayRunAgain } from './mayRunAgain.ts';
+import type { RunCount } from './mayRunAgain.ts';
 import type { SendingEnd } from './nextStep.ts';
 
 /** What the head of a backend server's answer says. */
@@ -14,14 +15,8 @@
   readonly isEncoded: boolean;
 };
 
-/** The request that waits for the answer. */
-export type AnsweredRequest = {
-  readonly requestId: string;
-  readonly repeatability: Repeatability;
-  /** Sendings before this one that a server may have run. */
-  readonly mayHaveRun: number;
-  readonly maxAttempts: number;
-};
+/** The request that waits for the answer; its sendings before this one are counted. */
+export type AnsweredRequest = RunCount & { readonly requestId: string };
 
 /** What an answer means: it is passed on, it is not the request's own, or the sending ended so. */
 export type AnswerVerdict = 'pass-on' | 'foreign' | SendingEnd;
@@ -49,8 +44,7 @@
   if (status < FIRST_REDIRECT_STATUS && (!hasProof || isEncoded)) return 'foreign';
   const isPromise = NOT_RUN_STATUSES.has(status);
   if (status < FIRST_SERVER_ERROR_STATUS && !isPromise) return 'pass-on';
-  const mayRepeat =
-    request.repeatability !== 'once' && request.mayHaveRun + 1 < request.maxAttempts;
-  if (mayRepeat) return 'failed';
+  // This sending is one that may have run as well.
+  if (mayRunAgain({ ...request, mayHaveRun: request.mayHaveRun + 1 })) return 'failed';
   return isPromise ? 'unknown' : 'pass-on';
 }
--- a/core/dispatch/nextStep.ts
+++ b/core/dispatch/nextStep.ts
@@ -1,4 +1,5 @@
-import type { Repeatability } from '../serving/mod.ts';
+import { mayRunAgain } from './mayRunAgain.ts';
+import type { RunCount } from './mayRunAgain.ts';
 
 /** How one sending of a request to a backend server ended, when it did not end in a whole answer. */
 export type SendingEnd =
@@ -12,14 +13,9 @@
   | 'failed';
 
 /** What has happened to a request so far. */
-export type RequestHistory = {
-  readonly repeatability: Repeatability;
-  /** Sendings that a server may have run. */
-  readonly mayHaveRun: number;
+export type RequestHistory = RunCount & {
   /** Sendings that no server ran. */
   readonly notRun: number;
-  /** Backend servers that one request may be sent to. */
-  readonly maxAttempts: number;
   /** Whether the caller's time has passed. */
   readonly isLate: boolean;
 };
@@ -30,8 +26,8 @@
 /** Sendings without a run after which a request is refused; more would cost other requests' retries. */
 const MAX_NOT_RUN = 3;
 
-function mayRepeat({ repeatability, mayHaveRun, maxAttempts, isLate }: RequestHistory): boolean {
-  return repeatability !== 'once' && mayHaveRun < maxAttempts && !isLate;
+function mayRepeat(history: RequestHistory): boolean {
+  return mayRunAgain(history) && !history.isLate;
 }
 
 function afterNotRun(history: RequestHistory): NextStep {
--- a/core/set/mod.ts
+++ b/core/set/mod.ts
@@ -3,6 +3,8 @@
 export type { SetConflict, StampVerdict } from './acceptance.ts';
 export { checkSet } from './checkSet.ts';
 export type { SetCheck } from './checkSet.ts';
+export { compareByName } from './compareByName.ts';
+export type { NameDifference } from './compareByName.ts';
 export {
   applyDifference,
   compareHoldings,
--- a/programs/serving/_storeRecords.ts
+++ b/programs/serving/_storeRecords.ts
@@ -94,8 +94,9 @@
       if (prefix === SERVER_PREFIX) this.#applyServer(record, returnUntil);
       else this.#applyOperatorRecord(record);
     });
+    if (changed.length === 0) return false;
     this.#options.changed();
-    return changed.length > 0;
+    return true;
   }
 
   #applyOperatorRecord({ key, value }: MirroredRecord): void {
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { CallerServer } from '../../carriage/mod.ts';
 import type { Milliseconds } from '../../core/clock/mod.ts';
 import type { Log } from '../../log/mod.ts';
@@ -38,12 +39,6 @@
 /** Time between looks whether a process that leaves has answered all its requests. */
 const LEAVING_LOOK_MS: Milliseconds = 50;
 
-function sleep(ms: Milliseconds): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /**
  * Starts the process that serves callers.
  *
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -1,5 +1,5 @@
-import { Packr } from 'msgpackr';
 import * as z from 'zod/mini';
+import { decodeChecked, encodeMessagePack } from '../_decodeChecked.ts';
 
 const recordSchema = z.object({
   key: z.string(),
@@ -35,19 +35,12 @@
 /** What entries say to each other. */
 export type PeerMessage = Readonly<z.infer<typeof peerMessageSchema>>;
 
-const packr = new Packr({ useRecords: false });
-
 /** Encodes a message between entries. */
 export function encodePeerMessage(message: PeerMessage): Uint8Array {
-  return packr.pack(message);
+  return encodeMessagePack(message);
 }
 
 /** Decodes a message between entries; `undefined` when the bytes are none. */
 export function decodePeerMessage(bytes: Uint8Array): PeerMessage | undefined {
-  try {
-    return peerMessageSchema.safeParse(packr.unpack(bytes)).data;
-  } catch {
-    // Bytes that are no MessagePack are as unreadable as a wrong message, and end as one.
-    return undefined;
-  }
+  return decodeChecked(peerMessageSchema, bytes);
 }
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -1,7 +1,12 @@
 import type { CallerRequest } from '../../carriage/mod.ts';
 import { Ejection, RetryBudget, savedRetries } from '../../core/admission/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
-import { chooseServer, MISDIRECTED_STATUS, nextStep } from '../../core/dispatch/mod.ts';
+import {
+  chooseServer,
+  mayRunAgain,
+  MISDIRECTED_STATUS,
+  nextStep,
+} from '../../core/dispatch/mod.ts';
 import type { SendingEnd, ServerView } from '../../core/dispatch/mod.ts';
 import { DONE, failed, unknown } from '../../core/outcome/mod.ts';
 import { EventCutter } from '../../core/streams/mod.ts';
@@ -389,8 +394,7 @@
       this.#options.clock.schedule(silentMs, () => {
         const isCurrent = !request.isOver && request.sendingNumber === number;
         if (!isCurrent || request.isAwaiting || request.caller.answer.hasBegun()) return;
-        const mayRepeat = request.mayHaveRun + 1 < route.maxAttempts;
-        if (!mayRepeat) return;
+        if (!mayRunAgain({ ...route, mayHaveRun: request.mayHaveRun + 1 })) return;
         request.sending?.abort();
         this.#finishSending(request, 'unknown', `no answer within ${silentMs} ms`);
       }),
--- a/tasks/keeper/messages.ts
+++ b/tasks/keeper/messages.ts
@@ -1,5 +1,5 @@
-import { Packr } from 'msgpackr';
 import * as z from 'zod/mini';
+import { decodeChecked, encodeMessagePack } from '../_decodeChecked.ts';
 
 const countSchema = z.number().check(z.nonnegative());
 
@@ -63,28 +63,17 @@
 /** What a keeper tells an entry. */
 export type KeeperMessage = Readonly<z.infer<typeof keeperMessageSchema>>;
 
-const packr = new Packr({ useRecords: false });
-
 /** Encodes a message of a keeper's link. */
 export function encodeMessage(message: EntryMessage | KeeperMessage): Uint8Array {
-  return packr.pack(message);
-}
-
-function unpack(bytes: Uint8Array): unknown {
-  try {
-    return packr.unpack(bytes);
-  } catch {
-    // Bytes that are no MessagePack are as unreadable as a wrong message, and end as one.
-    return undefined;
-  }
+  return encodeMessagePack(message);
 }
 
 /** Decodes what an entry sent; `undefined` when the bytes are no message of an entry. */
 export function decodeEntryMessage(bytes: Uint8Array): EntryMessage | undefined {
-  return entryMessageSchema.safeParse(unpack(bytes)).data;
+  return decodeChecked(entryMessageSchema, bytes);
 }
 
 /** Decodes what a keeper sent; `undefined` when the bytes are no message of a keeper. */
 export function decodeKeeperMessage(bytes: Uint8Array): KeeperMessage | undefined {
-  return keeperMessageSchema.safeParse(unpack(bytes)).data;
+  return decodeChecked(keeperMessageSchema, bytes);
 }
