Log how a request was read, to tell three causes of stale work apart

Whether late requests had waited in a long turn of the event loop, in the listen queue or in the gateway could not be told from the logs. HS8020 now has the age and the number of requests of the connection, the turns in a row that accepted a connection, the last turn's length and the time from reading to forwarding; loop_turn_ms and accept_run are metrics.

--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -72,6 +72,7 @@
     ...splitAddress(settings.callerAddress ?? `${settings.ip}:0`),
     limits: INITIAL_CALLER_LIMITS,
     handle: (request) => gateway.handle(request),
+    onTurn: (tookMs) => metrics.record('loop_turn_ms', tookMs),
   });
   const records = new StoreRecords({
     storeAddress: settings.storeAddress,
@@ -107,6 +108,7 @@
   loadShedding.start();
   records.start();
   metrics.gauge('open_requests', () => gateway.openRequestCount);
+  metrics.gauge('accept_run', () => server.acceptRun);
   metrics.gauge('known_servers', () => gateway.servers.size);
   metrics.gauge('deployment_version', () => gateway.deployment?.version ?? 0);
   const closeMetrics = serveMetrics(settings.ip, metricsPort, metrics);
--- /dev/null
+++ b/proxy/_loopTurns.ts
@@ -0,0 +1,69 @@
+import type { Milliseconds } from '../core/clock/mod.ts';
+
+/** Options of `LoopTurns`. */
+export type LoopTurnsOptions = {
+  /** Called at the end of each observed turn with the time since its first event. */
+  readonly onTurn?: (tookMs: Milliseconds) => void;
+};
+
+/**
+ * Observes the turns of the event loop in which sockets had events.
+ *
+ * The event loop accepts one connection per turn, so a run of turns that each accepted one shows
+ * that connections wait in the listen queue of the kernel.
+ */
+export class LoopTurns {
+  readonly #onTurn: (tookMs: Milliseconds) => void;
+
+  #immediate: NodeJS.Immediate | undefined;
+
+  #beganAt: Milliseconds = 0;
+
+  #hasAccepted = false;
+
+  #lastTurnMs: Milliseconds = 0;
+
+  #acceptRun = 0;
+
+  constructor({ onTurn = () => undefined }: LoopTurnsOptions = {}) {
+    this.#onTurn = onTurn;
+  }
+
+  /** Time that the last observed turn took. */
+  get lastTurnMs(): Milliseconds {
+    return this.#lastTurnMs;
+  }
+
+  /** Number of turns in a row, up to the last one, in which a connection was accepted. */
+  get acceptRun(): number {
+    return this.#acceptRun;
+  }
+
+  /** Records that a connection was accepted. */
+  noteAccepted(): void {
+    this.#hasAccepted = true;
+    this.noteEvent();
+  }
+
+  /** Records any other event of a socket. */
+  noteEvent(): void {
+    if (this.#immediate !== undefined) return;
+    this.#beganAt = performance.now();
+    this.#immediate = setImmediate(() => this.#endTurn());
+  }
+
+  /** Stops the observation. */
+  close(): void {
+    clearImmediate(this.#immediate);
+  }
+
+  #endTurn(): void {
+    this.#immediate = undefined;
+    this.#lastTurnMs = performance.now() - this.#beganAt;
+    this.#acceptRun = this.#hasAccepted ? this.#acceptRun + 1 : 0;
+    this.#hasAccepted = false;
+    this.#onTurn(this.#lastTurnMs);
+    // The next turn must be observed too, even if nothing is accepted in it.
+    if (this.#acceptRun > 0) this.noteEvent();
+  }
+}
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -1,7 +1,22 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { CallerLimits } from '../core/serving/mod.ts';
+import type { Milliseconds } from '../core/clock/mod.ts';
 import { HeaderTimeout } from './_headerTimeout.ts';
+import { LoopTurns } from './_loopTurns.ts';
+
+/** How a request was read, which tells where it may have waited before. */
+export type RequestArrival = {
+  /** Time from accepting the connection to reading the request. */
+  readonly connectionAgeMs: Milliseconds;
+  /** Number of requests read from the connection, this one included. */
+  readonly connectionRequests: number;
+  /** Number of turns of the event loop in a row that each accepted a connection. */
+  readonly acceptRun: number;
+  /** Time that the last turn of the event loop took. */
+  readonly turnMs: Milliseconds;
+};
 
 /** A caller's request with its complete body. */
 export type CallerRequest = {
@@ -11,6 +26,7 @@
   /** Alternating names and values. */
   readonly headers: readonly string[];
   readonly body: Buffer;
+  readonly arrival: RequestArrival;
   readonly response: CallerResponse;
 };
 
@@ -51,8 +67,13 @@
   readonly port: number;
   readonly limits: CallerLimits;
   readonly handle: (request: CallerRequest) => void;
+  /** Called after each turn of the event loop with socket events. @default does nothing */
+  readonly onTurn?: (tookMs: Milliseconds) => void;
 };
 
+/** What is known of an open connection. */
+type ConnectionRecord = { readonly acceptedAt: Milliseconds; requests: number };
+
 const PAYLOAD_TOO_LARGE = 413;
 
 const HEADER_FIELDS_TOO_LARGE = 431;
@@ -87,6 +108,10 @@
 
   readonly #headerTimeout: HeaderTimeout;
 
+  readonly #turns: LoopTurns;
+
+  readonly #connections = new WeakMap<Socket, ConnectionRecord>();
+
   #limits: CallerLimits;
 
   #isDraining = false;
@@ -106,7 +131,12 @@
       },
       (request, response) => this.#readRequest(request, response),
     );
-    this.#server.on('connection', (socket) => this.#headerTimeout.add(socket));
+    this.#turns = new LoopTurns(options.onTurn === undefined ? {} : { onTurn: options.onTurn });
+    this.#server.on('connection', (socket) => {
+      this.#headerTimeout.add(socket);
+      this.#connections.set(socket, { acceptedAt: performance.now(), requests: 0 });
+      this.#turns.noteAccepted();
+    });
     this.applyLimits(options.limits);
   }
 
@@ -115,6 +145,16 @@
     return this.#openRequests;
   }
 
+  /** Number of turns of the event loop in a row, up to now, that each accepted a connection. */
+  get acceptRun(): number {
+    return this.#turns.acceptRun;
+  }
+
+  /** Number of open connections. */
+  get openConnectionCount(): number {
+    return this.#headerTimeout.connectionCount;
+  }
+
   /** Applies new limits. */
   applyLimits(limits: CallerLimits): void {
     this.#limits = limits;
@@ -147,6 +187,7 @@
   /** Stops listening and closes all connections. */
   abort(): void {
     this.#headerTimeout.close();
+    this.#turns.close();
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -184,10 +225,23 @@
       path: request.url ?? '/',
       headers: request.rawHeaders,
       body,
+      arrival: this.#describeArrival(request.socket),
       response: this.#createResponse(request, response),
     });
   }
 
+  #describeArrival(socket: Socket): RequestArrival {
+    const record = this.#connections.get(socket);
+    if (record !== undefined) record.requests += 1;
+    this.#turns.noteEvent();
+    return {
+      connectionAgeMs: performance.now() - (record?.acceptedAt ?? performance.now()),
+      connectionRequests: record?.requests ?? 0,
+      acceptRun: this.#turns.acceptRun,
+      turnMs: this.#turns.lastTurnMs,
+    };
+  }
+
   #createResponse(request: IncomingMessage, response: ServerResponse): CallerResponse {
     let isUnframed = false;
     return {
--- a/proxy/mod.ts
+++ b/proxy/mod.ts
@@ -12,4 +12,5 @@
   CallerResponseHead,
   CallerRequest,
   CallerServerOptions,
+  RequestArrival,
 } from './callerServer.ts';
--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -36,11 +36,17 @@
   tookMs: Milliseconds,
   deployment: Deployment | undefined,
 ): LogFields {
+  const { connectionAgeMs, connectionRequests, acceptRun, turnMs } = request.caller.arrival;
   return {
     route: request.route.name,
     adapter: request.head.modelName,
     server: request.view?.server.id,
     tookMs: Math.round(tookMs),
+    connectionAgeMs: Math.round(connectionAgeMs),
+    connectionRequests,
+    acceptRun,
+    turnMs: Math.round(turnMs),
+    sentAfterMs: request.sentAt === 0 ? undefined : Math.round(request.sentAt - request.acceptedAt),
     firstByteMs: request.firstByteMs === undefined ? undefined : Math.round(request.firstByteMs),
     longestPauseMs: Math.round(request.longestPauseMs),
     mayHaveRun: request.mayHaveRunCount,
