Add failing tests of requests whose callers left before they were read

The tests open connections and send requests while the process under test is blocked, so that the request and the close lie in the listen queue when it goes on; no clock is involved.

--- a/proxy/callerServer.test.ts
+++ b/proxy/callerServer.test.ts
@@ -4,6 +4,7 @@
 import type { CallerLimits } from '../core/serving/mod.ts';
 import { openRawConnection } from './testing/rawConnection.ts';
 import type { RawConnection } from './testing/rawConnection.ts';
+import { queueConnections } from './testing/queueConnections.ts';
 
 const LIMITS: CallerLimits = {
   maxHeaderBytes: 4096,
@@ -72,6 +73,34 @@
     });
   });
 
+  describe('a caller that left before its request was read', () => {
+    const request = (index: number): string => `GET /${index} HTTP/1.1\r\nHost: a\r\n\r\n`;
+
+    (['close', 'reset'] as const).forEach((departure) => {
+      it(`has no request handled (${departure})`, async () => {
+        await queueConnections({ port: server.port, count: 12, request, departure }).closed;
+        expect(requests.map(({ path }) => path)).to.deep.equal([]);
+      });
+    });
+  });
+
+  describe('callers whose connections wait to be accepted', () => {
+    it('are all accepted before a request is handled', async () => {
+      const accepted: string[] = [];
+      respond = (caller) => {
+        accepted.push(`${server.openConnectionCount}`);
+        respondOk(caller);
+      };
+      await queueConnections({
+        port: server.port,
+        count: 12,
+        request: (index) => `GET /${index} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n`,
+      }).closed;
+      expect(requests).to.have.length(12);
+      expect(accepted[0]).to.equal('12');
+    });
+  });
+
   describe('a body', () => {
     it('in chunks reaches the handler complete and decoded', async () => {
       const chunks = '3;name=value\r\nabc\r\n4\r\n\r\nde\r\n0\r\nTrailer: x\r\n\r\n';
