Forward a request only once its caller's connection has been read again after it

Cause: a request and the close behind it wait in the same socket, for as long as its connection waits in the listen queue. Node.js reads the request in one turn of the event loop and the close in the next; the request was forwarded in between. Class: an input is acted on while a later input that revokes it has already arrived. The close was acted on late, too: the response's 'close' follows the socket's 'end' by a turn or two, and waits for blocked writes.

Change: CallerServer adds a request to a RequestIntake, which passes it on after a turn that followed the one that read it, or drops it if the socket has ended. Disconnects are taken from the socket's 'end'. A request whose deadline has passed in the meantime is refused instead of sent.

--- /dev/null
+++ b/core/admission/intakeQueue.ts
@@ -0,0 +1,53 @@
+import type { Milliseconds } from '../clock/mod.ts';
+
+/** When a request was read. */
+type Arrival = { readonly turn: number; readonly readAt: Milliseconds };
+
+/**
+ * Requests that have been read and are not handled yet, the oldest first.
+ *
+ * A caller's close may lie unread behind its request, and is read in the next turn of the event loop at
+ * the earliest. So a request may be taken only in a turn after the one that read it; until then it can
+ * be removed.
+ */
+export class IntakeQueue<Request> {
+  readonly #arrivals = new Map<Request, Arrival>();
+
+  #turn = 0;
+
+  /** Number of waiting requests. */
+  get size(): number {
+    return this.#arrivals.size;
+  }
+
+  /** Returns how long the oldest request has waited; 0 if none waits. */
+  oldestWaitMs(now: Milliseconds): Milliseconds {
+    const [oldest] = this.#arrivals.values();
+    return oldest === undefined ? 0 : now - oldest.readAt;
+  }
+
+  /** Adds a request that was read in the current turn. */
+  add(request: Request, now: Milliseconds): void {
+    this.#arrivals.set(request, { turn: this.#turn, readAt: now });
+  }
+
+  /** Removes a request, for instance when its caller has left. Returns whether it was waiting. */
+  remove(request: Request): boolean {
+    return this.#arrivals.delete(request);
+  }
+
+  /** Ends the current turn, after all its sockets have been read. */
+  endTurn(): void {
+    this.#turn += 1;
+  }
+
+  /** Takes the next request that may be handled after the last ended turn; `undefined` if there is none. */
+  take(): Request | undefined {
+    const [next] = this.#arrivals;
+    if (next === undefined) return undefined;
+    const [request, { turn }] = next;
+    if (turn >= this.#turn - 1) return undefined;
+    this.#arrivals.delete(request);
+    return request;
+  }
+}
--- a/core/admission/mod.ts
+++ b/core/admission/mod.ts
@@ -1,4 +1,5 @@
-/** Load shedding, retry limits, outlier detection and wait estimates. @module */
+/** Intake of requests, load shedding, retry limits, outlier detection and wait estimates. @module */
+export { IntakeQueue } from './intakeQueue.ts';
 export { OutlierDetector } from './outlierDetector.ts';
 export type { OutlierDetectorOptions } from './outlierDetector.ts';
 export { estimateWaitMs } from './estimateWaitMs.ts';
--- a/proxy/_loopTurns.ts
+++ b/http/_loopTurns.ts
@@ -4,6 +4,8 @@
 export type LoopTurnsOptions = {
   /** Called at the end of each observed turn with the time since its first event. */
   readonly onTurn?: (tookMs: Milliseconds) => void;
+  /** Whether the next turn must be observed although no event is known yet. @default never */
+  readonly hasWork?: () => boolean;
 };
 
 /**
@@ -15,6 +17,8 @@
 export class LoopTurns {
   readonly #onTurn: (tookMs: Milliseconds) => void;
 
+  readonly #hasWork: () => boolean;
+
   #immediate: NodeJS.Immediate | undefined;
 
   #beganAt: Milliseconds = 0;
@@ -25,8 +29,9 @@
 
   #acceptRun = 0;
 
-  constructor({ onTurn = () => undefined }: LoopTurnsOptions = {}) {
+  constructor({ onTurn = () => undefined, hasWork = () => false }: LoopTurnsOptions = {}) {
     this.#onTurn = onTurn;
+    this.#hasWork = hasWork;
   }
 
   /** Time that the last observed turn took. */
@@ -63,7 +68,7 @@
     this.#acceptRun = this.#hasAccepted ? this.#acceptRun + 1 : 0;
     this.#hasAccepted = false;
     this.#onTurn(this.#lastTurnMs);
-    // The next turn must be observed too, even if nothing is accepted in it.
-    if (this.#acceptRun > 0) this.noteEvent();
+    // A row of accepting turns ends with the first turn without an accepted connection.
+    if (this.#acceptRun > 0 || this.#hasWork()) this.noteEvent();
   }
 }
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -1,7 +1,9 @@
-/** Helpers for HTTP servers, and a parser of server-sent events. @module */
+/** Helpers for HTTP servers, the intake of requests, and a parser of server-sent events. @module */
 export { listenHttp } from './listen.ts';
 export type { HttpAddress, HttpHandler, HttpListener } from './listen.ts';
 export { readBody } from './readBody.ts';
 export type { BodyResult } from './readBody.ts';
+export { onCallerGone, RequestIntake } from './requestIntake.ts';
+export type { ReadRequest, RequestArrival, RequestIntakeOptions } from './requestIntake.ts';
 export { respondJson, respondText } from './respond.ts';
 export { ServerSentEventParser } from './serverSentEvents.ts';
--- /dev/null
+++ b/http/requestIntake.ts
@@ -0,0 +1,155 @@
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+import { IntakeQueue } from '../core/admission/mod.ts';
+import type { Milliseconds } from '../core/clock/mod.ts';
+import { LoopTurns } from './_loopTurns.ts';
+
+/** How a request was read, which tells where it may have waited before. */
+export type RequestArrival = {
+  /** Time from accepting the connection to reading the request. */
+  readonly connectionAgeMs: Milliseconds;
+  /** Number of requests read from the connection, this one included. */
+  readonly connectionRequests: number;
+  /** Number of turns of the event loop in a row that each accepted a connection. */
+  readonly acceptRun: number;
+  /** Time that the last turn of the event loop took. */
+  readonly turnMs: Milliseconds;
+  /** Time from reading the request to handling it. */
+  readonly waitedMs: Milliseconds;
+};
+
+/** A request that was read completely. */
+export type ReadRequest = {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Called once the request may be handled, unless its caller has left before. */
+  readonly handle: (arrival: RequestArrival) => void;
+  /** Called instead of `handle` if the caller has left. @default does nothing */
+  readonly onCallerGone?: (arrival: RequestArrival) => void;
+};
+
+/** Options of `RequestIntake`. */
+export type RequestIntakeOptions = {
+  /** The server whose connections are observed. */
+  readonly server: Server;
+  /** Called after each turn of the event loop with socket events. @default does nothing */
+  readonly onTurn?: (tookMs: Milliseconds) => void;
+};
+
+type ConnectionRecord = { readonly acceptedAt: Milliseconds; requests: number };
+
+type WaitingRequest = ReadRequest & {
+  readonly readAt: Milliseconds;
+  readonly arrival: Omit<RequestArrival, 'waitedMs'>;
+  readonly stopObserving: () => void;
+};
+
+/**
+ * Calls `run` once when the caller of a request has closed its connection, or its sending side, before
+ * the response is complete. Returns a function that ends the observation.
+ */
+export function onCallerGone(
+  request: IncomingMessage,
+  response: ServerResponse,
+  run: () => void,
+): () => void {
+  const { socket } = request;
+  let stop = (): void => undefined;
+  const handleEnd = (): void => {
+    stop();
+    run();
+  };
+  const handleClose = (): void => {
+    stop();
+    if (!response.writableFinished) run();
+  };
+  stop = () => {
+    socket.off('end', handleEnd);
+    response.off('close', handleClose);
+  };
+  // The response closes turns after the socket has ended, and later still if writes are blocked.
+  socket.once('end', handleEnd);
+  response.once('close', handleClose);
+  return stop;
+}
+
+/** Passes on requests of a server for handling, but not those whose callers have already left. */
+export class RequestIntake {
+  readonly #connections = new Map<Socket, ConnectionRecord>();
+
+  readonly #queue = new IntakeQueue<WaitingRequest>();
+
+  readonly #turns: LoopTurns;
+
+  constructor({ server, onTurn }: RequestIntakeOptions) {
+    this.#turns = new LoopTurns({
+      onTurn: (tookMs) => {
+        this.#handleWaiting();
+        onTurn?.(tookMs);
+      },
+      hasWork: () => this.#queue.size > 0,
+    });
+    server.on('connection', (socket) => {
+      this.#connections.set(socket, { acceptedAt: performance.now(), requests: 0 });
+      this.#turns.noteAccepted();
+      socket.once('close', () => this.#connections.delete(socket));
+    });
+  }
+
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.#connections.size;
+  }
+
+  /** Number of turns of the event loop in a row, up to now, that each accepted a connection. */
+  get acceptRun(): number {
+    return this.#turns.acceptRun;
+  }
+
+  /** How long the oldest request that is not handled yet has waited. */
+  get oldestWaitMs(): Milliseconds {
+    return this.#queue.oldestWaitMs(performance.now());
+  }
+
+  /** Adds a request that was read completely. */
+  add(read: ReadRequest): void {
+    const { request, response } = read;
+    const readAt = performance.now();
+    const record = this.#connections.get(request.socket);
+    if (record !== undefined) record.requests += 1;
+    const waiting: WaitingRequest = {
+      ...read,
+      readAt,
+      arrival: {
+        connectionAgeMs: readAt - (record?.acceptedAt ?? readAt),
+        connectionRequests: record?.requests ?? 0,
+        acceptRun: this.#turns.acceptRun,
+        turnMs: this.#turns.lastTurnMs,
+      },
+      stopObserving: onCallerGone(request, response, () => {
+        if (this.#queue.remove(waiting)) read.onCallerGone?.(RequestIntake.#arrivalOf(waiting));
+      }),
+    };
+    this.#queue.add(waiting, readAt);
+    this.#turns.noteEvent();
+  }
+
+  /** Stops passing on requests. */
+  close(): void {
+    this.#turns.close();
+  }
+
+  static #arrivalOf({ arrival, readAt }: WaitingRequest): RequestArrival {
+    return { ...arrival, waitedMs: performance.now() - readAt };
+  }
+
+  #handleWaiting(): void {
+    this.#queue.endTurn();
+    for (;;) {
+      const next = this.#queue.take();
+      if (next === undefined) return;
+      next.stopObserving();
+      next.handle(RequestIntake.#arrivalOf(next));
+    }
+  }
+}
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -72,6 +72,7 @@
     ...splitAddress(settings.callerAddress ?? `${settings.ip}:0`),
     limits: INITIAL_CALLER_LIMITS,
     handle: (request) => gateway.handle(request),
+    onCallerGone: (request) => gateway.noteCallerGone(request),
     onTurn: (tookMs) => metrics.record('loop_turn_ms', tookMs),
   });
   const records = new StoreRecords({
--- a/proxy/_headerTimeout.ts
+++ b/proxy/_headerTimeout.ts
@@ -38,11 +38,6 @@
     this.#timer.unref();
   }
 
-  /** Number of open connections. */
-  get connectionCount(): number {
-    return this.#connections.size;
-  }
-
   /** Changes the timeout. */
   applyTimeout(timeoutMs: Milliseconds): void {
     this.#timeoutMs = timeoutMs;
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -1,22 +1,10 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
 import type { CallerLimits } from '../core/serving/mod.ts';
 import type { Milliseconds } from '../core/clock/mod.ts';
+import { onCallerGone, RequestIntake } from '../http/mod.ts';
+import type { RequestArrival } from '../http/mod.ts';
 import { HeaderTimeout } from './_headerTimeout.ts';
-import { LoopTurns } from './_loopTurns.ts';
-
-/** How a request was read, which tells where it may have waited before. */
-export type RequestArrival = {
-  /** Time from accepting the connection to reading the request. */
-  readonly connectionAgeMs: Milliseconds;
-  /** Number of requests read from the connection, this one included. */
-  readonly connectionRequests: number;
-  /** Number of turns of the event loop in a row that each accepted a connection. */
-  readonly acceptRun: number;
-  /** Time that the last turn of the event loop took. */
-  readonly turnMs: Milliseconds;
-};
 
 /** A caller's request with its complete body. */
 export type CallerRequest = {
@@ -57,7 +45,7 @@
   readonly hasBegun: () => boolean;
   /** Calls `run` once when the buffer has drained. */
   readonly onDrain: (run: () => void) => void;
-  /** Calls `run` once if the connection closes before the response is complete. */
+  /** Calls `run` once if the caller closes the connection before the response is complete. */
   readonly onDisconnect: (run: () => void) => void;
 };
 
@@ -67,13 +55,12 @@
   readonly port: number;
   readonly limits: CallerLimits;
   readonly handle: (request: CallerRequest) => void;
+  /** Called instead of `handle` if the caller left before. @default does nothing */
+  readonly onCallerGone?: (request: CallerRequest) => void;
   /** Called after each turn of the event loop with socket events. @default does nothing */
   readonly onTurn?: (tookMs: Milliseconds) => void;
 };
 
-/** What is known of an open connection. */
-type ConnectionRecord = { readonly acceptedAt: Milliseconds; requests: number };
-
 const PAYLOAD_TOO_LARGE = 413;
 
 const HEADER_FIELDS_TOO_LARGE = 431;
@@ -108,9 +95,7 @@
 
   readonly #headerTimeout: HeaderTimeout;
 
-  readonly #turns: LoopTurns;
-
-  readonly #connections = new WeakMap<Socket, ConnectionRecord>();
+  readonly #intake: RequestIntake;
 
   #limits: CallerLimits;
 
@@ -131,12 +116,9 @@
       },
       (request, response) => this.#readRequest(request, response),
     );
-    this.#turns = new LoopTurns(options.onTurn === undefined ? {} : { onTurn: options.onTurn });
-    this.#server.on('connection', (socket) => {
-      this.#headerTimeout.add(socket);
-      this.#connections.set(socket, { acceptedAt: performance.now(), requests: 0 });
-      this.#turns.noteAccepted();
-    });
+    this.#server.on('connection', (socket) => this.#headerTimeout.add(socket));
+    const { onTurn } = options;
+    this.#intake = new RequestIntake({ server: this.#server, ...(onTurn && { onTurn }) });
     this.applyLimits(options.limits);
   }
 
@@ -147,12 +129,12 @@
 
   /** Number of turns of the event loop in a row, up to now, that each accepted a connection. */
   get acceptRun(): number {
-    return this.#turns.acceptRun;
+    return this.#intake.acceptRun;
   }
 
   /** Number of open connections. */
   get openConnectionCount(): number {
-    return this.#headerTimeout.connectionCount;
+    return this.#intake.connectionCount;
   }
 
   /** Applies new limits. */
@@ -187,7 +169,7 @@
   /** Stops listening and closes all connections. */
   abort(): void {
     this.#headerTimeout.close();
-    this.#turns.close();
+    this.#intake.close();
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -220,26 +202,21 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse, body: Buffer): void {
-    this.#options.handle({
+    const { handle, onCallerGone: onGone = () => undefined } = this.#options;
+    const describe = (arrival: RequestArrival): CallerRequest => ({
       method: request.method ?? 'GET',
       path: request.url ?? '/',
       headers: request.rawHeaders,
       body,
-      arrival: this.#describeArrival(request.socket),
+      arrival,
       response: this.#createResponse(request, response),
     });
-  }
-
-  #describeArrival(socket: Socket): RequestArrival {
-    const record = this.#connections.get(socket);
-    if (record !== undefined) record.requests += 1;
-    this.#turns.noteEvent();
-    return {
-      connectionAgeMs: performance.now() - (record?.acceptedAt ?? performance.now()),
-      connectionRequests: record?.requests ?? 0,
-      acceptRun: this.#turns.acceptRun,
-      turnMs: this.#turns.lastTurnMs,
-    };
+    this.#intake.add({
+      request,
+      response,
+      handle: (arrival) => handle(describe(arrival)),
+      onCallerGone: (arrival) => onGone(describe(arrival)),
+    });
   }
 
   #createResponse(request: IncomingMessage, response: ServerResponse): CallerResponse {
@@ -264,9 +241,7 @@
         response.once('drain', run);
       },
       onDisconnect: (run) => {
-        response.once('close', () => {
-          if (!response.writableFinished) run();
-        });
+        onCallerGone(request, response, run);
       },
     };
   }
--- a/proxy/mod.ts
+++ b/proxy/mod.ts
@@ -12,5 +12,4 @@
   CallerResponseHead,
   CallerRequest,
   CallerServerOptions,
-  RequestArrival,
 } from './callerServer.ts';
--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -2,6 +2,7 @@
 import type { ServerChoice } from '../../core/dispatch/mod.ts';
 import type { Deployment } from '../../core/serving/mod.ts';
 import type { LogFields } from '../../log/mod.ts';
+import type { RequestArrival } from '../../http/mod.ts';
 import type { OpenRequest } from './_openRequest.ts';
 
 /** Returns the log fields of a routing decision: the choice, its inputs and their age. */
@@ -30,22 +31,29 @@
   };
 }
 
+/** Returns the log fields that tell where a request may have waited before it was handled. */
+export function describeArrival(arrival: RequestArrival): LogFields {
+  return {
+    connectionAgeMs: Math.round(arrival.connectionAgeMs),
+    connectionRequests: arrival.connectionRequests,
+    acceptRun: arrival.acceptRun,
+    turnMs: Math.round(arrival.turnMs),
+    waitedMs: Math.round(arrival.waitedMs),
+  };
+}
+
 /** Returns the log fields of a request that has ended. */
 export function describeEnd(
   request: OpenRequest,
   tookMs: Milliseconds,
   deployment: Deployment | undefined,
 ): LogFields {
-  const { connectionAgeMs, connectionRequests, acceptRun, turnMs } = request.caller.arrival;
   return {
     route: request.route.name,
     adapter: request.head.modelName,
     server: request.view?.server.id,
     tookMs: Math.round(tookMs),
-    connectionAgeMs: Math.round(connectionAgeMs),
-    connectionRequests,
-    acceptRun,
-    turnMs: Math.round(turnMs),
+    ...describeArrival(request.caller.arrival),
     sentAfterMs: request.sentAt === 0 ? undefined : Math.round(request.sentAt - request.acceptedAt),
     firstByteMs: request.firstByteMs === undefined ? undefined : Math.round(request.firstByteMs),
     longestPauseMs: Math.round(request.longestPauseMs),
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import type { CallerRequest } from '../../proxy/mod.ts';
-import { OutlierDetector, RetryBudget, retryBurstLimit } from '../../core/admission/mod.ts';
+import { OutlierDetector } from '../../core/admission/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import {
   chooseServer,
@@ -17,25 +17,21 @@
 import { decodeRequestHeaders, encodeRequestHeaders } from '../../platform/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 import { respondLocally } from './_respondLocally.ts';
-import { describeChoice, describeEnd } from './_describeRequest.ts';
+import { describeArrival, describeChoice, describeEnd } from './_describeRequest.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
 import { clearAwaitingFirstByte, forwardResponse } from './_forwardResponse.ts';
+import { RetryBudgets } from './_retryBudgets.ts';
+import type { RetryBudgetsOptions, RetryLimits } from './_retryBudgets.ts';
 import { ServerTable } from './_serverTable.ts';
 import { StartupHold } from './_startupHold.ts';
 
 /** Options of `Gateway`. */
-export type GatewayOptions = {
+export type GatewayOptions = RetryBudgetsOptions & {
   /** Unique id of this entry process; new at each start. */
   readonly entryId: string;
   readonly availabilityZone: string;
   /** Port on which the keepers listen. */
   readonly keeperPort: number;
-  /** Retries allowed, as a share of the requests. */
-  readonly retryShare: number;
-  /** Additional retries allowed per service, for all entries together. */
-  readonly retrySlack: number;
-  /** Returns the largest number of entries ever known; `undefined` before any other was seen. */
-  readonly maxKnownEntries: () => number | undefined;
   readonly clock: Clock;
   readonly dial: Dial;
   readonly log: Log;
@@ -50,9 +46,6 @@
 /** Time to the deadline of requests without a deadline header; capped by the route's timeout. */
 const DEFAULT_DEADLINE_MS: Milliseconds = 30_000;
 
-/** Share of the allowed retries that is used; a margin for differences in counting requests. */
-const RETRY_SAFETY_FACTOR = 0.8;
-
 /** Longest wait for an adapter load, as a share of the route's latency objective. */
 const MAX_LOAD_WAIT_SHARE = 0.9;
 
@@ -91,7 +84,7 @@
 
   readonly #hold: StartupHold;
 
-  readonly #retryBudgets = new Map<string, RetryBudget>();
+  readonly #retryBudgets: RetryBudgets;
 
   readonly #outliers = new OutlierDetector();
 
@@ -106,11 +99,9 @@
 
   #isRefusing = false;
 
-  #retryLimits: Pick<GatewayOptions, 'retryShare' | 'retrySlack'>;
-
   constructor(options: GatewayOptions) {
     this.#options = options;
-    this.#retryLimits = options;
+    this.#retryBudgets = new RetryBudgets(options);
     this.#hold = new StartupHold(options.clock);
     this.#table = new ServerTable({
       ...options,
@@ -160,9 +151,8 @@
   }
 
   /** Applies new retry limits and discards the budgets accumulated under the old ones. */
-  applyRetryLimits(retries: Pick<GatewayOptions, 'retryShare' | 'retrySlack'>): void {
-    this.#retryLimits = retries;
-    this.#retryBudgets.clear();
+  applyRetryLimits(limits: RetryLimits): void {
+    this.#retryBudgets.applyLimits(limits);
   }
 
   /** Applies a deployment, unless its version is not newer than the current one. */
@@ -188,23 +178,36 @@
 
   /** Serves one request. Shortly after the start, holds it until servers are known. */
   handle(caller: CallerRequest): void {
-    const acceptedAt = this.#options.clock.now();
+    const acceptedAt = this.#options.clock.now() - caller.arrival.waitedMs;
     if (this.#canAccept) {
       this.#accept(caller, acceptedAt);
       return;
     }
     let isDisconnected = false;
+    let isAccepted = false;
     caller.response.onDisconnect(() => {
       isDisconnected = true;
+      if (!isAccepted) this.noteCallerGone(caller);
     });
     const recheck = (): void => {
       if (isDisconnected) return;
-      if (this.#canAccept) this.#accept(caller, acceptedAt);
-      else this.#hold.recheckLater(recheck);
+      if (this.#canAccept) {
+        isAccepted = true;
+        this.#accept(caller, acceptedAt);
+      } else this.#hold.recheckLater(recheck);
     };
     this.#hold.recheckLater(recheck);
   }
 
+  /** Records a request whose caller left before it could be handled. */
+  noteCallerGone(caller: CallerRequest): void {
+    const { requestId } = decodeRequestHeaders(caller.headers);
+    this.#logEnd(requestId, 'caller-gone', {
+      reason: 'not-handled',
+      ...describeArrival(caller.arrival),
+    });
+  }
+
   /** Whether requests are no longer held: ready, refusing, or past the startup hold. */
   get #canAccept(): boolean {
     return this.isReady || this.#isRefusing || !this.#hold.isActive;
@@ -254,27 +257,12 @@
       timers: [],
     };
     this.#openRequests.add(request);
-    this.#retryBudgetOf(service.name).noteRequest();
+    this.#retryBudgets.of(service.name).noteRequest();
     request.timers.push(clock.schedule(deadlineAt - clock.now(), () => this.#expire(request)));
     caller.response.onDisconnect(() => this.#finish(request, 'caller-gone'));
     this.#dispatch(request);
   }
 
-  #retryBudgetOf(service: string): RetryBudget {
-    const { retryShare, retrySlack } = this.#retryLimits;
-    const limit = retryBurstLimit({ slack: retrySlack, entries: this.#options.maxKnownEntries() });
-    let budget = this.#retryBudgets.get(service);
-    if (budget === undefined) {
-      const perRequest = retryShare * RETRY_SAFETY_FACTOR;
-      // Shortly after the start too few other entries may be known to grant the full limit.
-      const initial = retryBurstLimit({ slack: retrySlack, entries: undefined });
-      budget = new RetryBudget({ perRequest, limit, initial });
-      this.#retryBudgets.set(service, budget);
-    }
-    budget.applyLimit(limit);
-    return budget;
-  }
-
   #candidatesOf(service: Service, tried: ReadonlySet<string>): readonly ServerView[] {
     const now = this.#options.clock.now();
     const untried = this.#table.viewsOf(service).filter(({ server }) => !tried.has(server.id));
@@ -294,6 +282,10 @@
     const minVersion = this.#minVersion(modelName);
     const now = this.#options.clock.now();
     const leftMs = request.deadlineAt - now;
+    if (leftMs <= 0) {
+      this.#expire(request);
+      return;
+    }
     const maxLoadWaitMs = Math.min(leftMs / 2, route.objectiveMs * MAX_LOAD_WAIT_SHARE);
     const choice = chooseServer(
       {
@@ -445,7 +437,7 @@
       isPastDeadline: clock.now() >= request.deadlineAt,
     });
     const isFree = outcome === 'not-sent';
-    if (step === 'again' && (isFree || this.#retryBudgetOf(request.service.name).tryRetry())) {
+    if (step === 'again' && (isFree || this.#retryBudgets.of(request.service.name).tryRetry())) {
       this.#dispatch(request);
     } else if (request.caller.response.hasBegun()) {
       this.#abortResponse(request);
