Accept waiting connections before handling requests

Callers waited up to 0.7 s before an entry read their requests, and left meanwhile, or got their answers late.

Cause: Node.js 20 (libuv 1.46) accepts one connection per turn of the event loop. On a busy host a turn takes 20 ms, most of it for handling requests, so 50 connections a second are accepted and the rest wait in the listen queue of the kernel, where the process knows neither their requests nor that their callers have left.

Change: while connections are accepted, requests that were read wait, for 32 turns in a row at most; per turn they are handled for 10 ms at most. Turns stay short, so the listen queue empties at the rate of accepting alone, and the wait moves to a queue that the process knows.

--- a/core/admission/intakeQueue.ts
+++ b/core/admission/intakeQueue.ts
@@ -1,5 +1,11 @@
 import type { Milliseconds } from '../clock/mod.ts';
 
+/** Options of `IntakeQueue`. */
+export type IntakeQueueOptions = {
+  /** Longest row of turns in which requests wait while connections are accepted. @default 32 */
+  readonly maxPostponedTurns?: number;
+};
+
 /** When a request was read. */
 type Arrival = { readonly turn: number; readonly readAt: Milliseconds };
 
@@ -9,12 +15,24 @@
  * A caller's close may lie unread behind its request, and is read in the next turn of the event loop at
  * the earliest. So a request may be taken only in a turn after the one that read it; until then it can
  * be removed.
+ *
+ * While connections are accepted, requests wait: the event loop accepts one connection per turn, and
+ * handling requests makes turns long. What waits in the listen queue of the kernel is not known to
+ * the process, neither the requests nor that their callers have left.
  */
 export class IntakeQueue<Request> {
   readonly #arrivals = new Map<Request, Arrival>();
 
+  readonly #maxPostponedTurns: number;
+
   #turn = 0;
 
+  #postponedTurns = 0;
+
+  constructor({ maxPostponedTurns = 32 }: IntakeQueueOptions = {}) {
+    this.#maxPostponedTurns = maxPostponedTurns;
+  }
+
   /** Number of waiting requests. */
   get size(): number {
     return this.#arrivals.size;
@@ -36,15 +54,22 @@
     return this.#arrivals.delete(request);
   }
 
-  /** Ends the current turn, after all its sockets have been read. */
-  endTurn(): void {
+  /**
+   * Ends the current turn, after all its sockets have been read.
+   *
+   * @param hasAccepted Whether a connection was accepted in the turn.
+   */
+  endTurn(hasAccepted: boolean): void {
     this.#turn += 1;
+    const isPostponed =
+      hasAccepted && this.size > 0 && this.#postponedTurns < this.#maxPostponedTurns;
+    this.#postponedTurns = isPostponed ? this.#postponedTurns + 1 : 0;
   }
 
   /** Takes the next request that may be handled after the last ended turn; `undefined` if there is none. */
   take(): Request | undefined {
     const [next] = this.#arrivals;
-    if (next === undefined) return undefined;
+    if (next === undefined || this.#postponedTurns > 0) return undefined;
     const [request, { turn }] = next;
     if (turn >= this.#turn - 1) return undefined;
     this.#arrivals.delete(request);
--- a/core/admission/mod.ts
+++ b/core/admission/mod.ts
@@ -1,5 +1,6 @@
 /** Intake of requests, load shedding, retry limits, outlier detection and wait estimates. @module */
 export { IntakeQueue } from './intakeQueue.ts';
+export type { IntakeQueueOptions } from './intakeQueue.ts';
 export { OutlierDetector } from './outlierDetector.ts';
 export type { OutlierDetectorOptions } from './outlierDetector.ts';
 export { estimateWaitMs } from './estimateWaitMs.ts';
--- a/http/_loopTurns.ts
+++ b/http/_loopTurns.ts
@@ -1,9 +1,16 @@
 import type { Milliseconds } from '../core/clock/mod.ts';
 
+/** A turn of the event loop that has ended. */
+export type LoopTurn = {
+  /** Time since the first event of the turn. */
+  readonly tookMs: Milliseconds;
+  readonly hasAccepted: boolean;
+};
+
 /** Options of `LoopTurns`. */
 export type LoopTurnsOptions = {
-  /** Called at the end of each observed turn with the time since its first event. */
-  readonly onTurn?: (tookMs: Milliseconds) => void;
+  /** Called at the end of each observed turn. */
+  readonly onTurn?: (turn: LoopTurn) => void;
   /** Whether the next turn must be observed although no event is known yet. @default never */
   readonly hasWork?: () => boolean;
 };
@@ -15,7 +22,7 @@
  * that connections wait in the listen queue of the kernel.
  */
 export class LoopTurns {
-  readonly #onTurn: (tookMs: Milliseconds) => void;
+  readonly #onTurn: (turn: LoopTurn) => void;
 
   readonly #hasWork: () => boolean;
 
@@ -65,9 +72,10 @@
   #endTurn(): void {
     this.#immediate = undefined;
     this.#lastTurnMs = performance.now() - this.#beganAt;
-    this.#acceptRun = this.#hasAccepted ? this.#acceptRun + 1 : 0;
+    const hasAccepted = this.#hasAccepted;
+    this.#acceptRun = hasAccepted ? this.#acceptRun + 1 : 0;
     this.#hasAccepted = false;
-    this.#onTurn(this.#lastTurnMs);
+    this.#onTurn({ tookMs: this.#lastTurnMs, hasAccepted });
     // A row of accepting turns ends with the first turn without an accepted connection.
     if (this.#acceptRun > 0 || this.#hasWork()) this.noteEvent();
   }
--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -30,12 +30,13 @@
 
 /** Options of `RequestIntake`. */
 export type RequestIntakeOptions = {
-  /** The server whose connections are observed. */
-  readonly server: Server;
   /** Called after each turn of the event loop with socket events. @default does nothing */
   readonly onTurn?: (tookMs: Milliseconds) => void;
 };
 
+/** Time per turn of the event loop for handling requests; sockets are read after it at the latest. */
+const HANDLING_SLICE_MS: Milliseconds = 10;
+
 type ConnectionRecord = { readonly acceptedAt: Milliseconds; requests: number };
 
 type WaitingRequest = ReadRequest & {
@@ -73,7 +74,12 @@
   return stop;
 }
 
-/** Passes on requests of a server for handling, but not those whose callers have already left. */
+/**
+ * Passes on requests of a server for handling, but not those whose callers have already left.
+ *
+ * Accepting connections and reading requests comes before handling them, so that no more than a turn
+ * of the event loop lies between a caller's close and the process's knowledge of it.
+ */
 export class RequestIntake {
   readonly #connections = new Map<Socket, ConnectionRecord>();
 
@@ -81,14 +87,19 @@
 
   readonly #turns: LoopTurns;
 
-  constructor({ server, onTurn }: RequestIntakeOptions) {
+  constructor({ onTurn }: RequestIntakeOptions = {}) {
     this.#turns = new LoopTurns({
-      onTurn: (tookMs) => {
+      onTurn: ({ tookMs, hasAccepted }) => {
+        this.#queue.endTurn(hasAccepted);
         this.#handleWaiting();
         onTurn?.(tookMs);
       },
       hasWork: () => this.#queue.size > 0,
     });
+  }
+
+  /** Observes the connections of a server. */
+  observe(server: Server): void {
     server.on('connection', (socket) => {
       this.#connections.set(socket, { acceptedAt: performance.now(), requests: 0 });
       this.#turns.noteAccepted();
@@ -143,13 +154,14 @@
     return { ...arrival, waitedMs: performance.now() - readAt };
   }
 
+  /** Handles at least one waiting request that may be handled, and more while the time slice lasts. */
   #handleWaiting(): void {
-    this.#queue.endTurn();
-    for (;;) {
+    const until = performance.now() + HANDLING_SLICE_MS;
+    do {
       const next = this.#queue.take();
       if (next === undefined) return;
       next.stopObserving();
       next.handle(RequestIntake.#arrivalOf(next));
-    }
+    } while (performance.now() < until);
   }
 }
--- a/programs/serving/callerGone.test.ts
+++ b/programs/serving/callerGone.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { queueConnections } from '../../proxy/testing/queueConnections.ts';
+import { queueConnections } from '../../http/testing/queueConnections.ts';
 import { startServingWorld } from './testing/servingWorld.ts';
 import type { ServingWorld } from './testing/servingWorld.ts';
 
--- a/proxy/callerServer.test.ts
+++ b/proxy/callerServer.test.ts
@@ -4,7 +4,7 @@
 import type { CallerLimits } from '../core/serving/mod.ts';
 import { openRawConnection } from './testing/rawConnection.ts';
 import type { RawConnection } from './testing/rawConnection.ts';
-import { queueConnections } from './testing/queueConnections.ts';
+import { queueConnections } from '../http/testing/queueConnections.ts';
 
 const LIMITS: CallerLimits = {
   maxHeaderBytes: 4096,
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -118,7 +118,8 @@
     );
     this.#server.on('connection', (socket) => this.#headerTimeout.add(socket));
     const { onTurn } = options;
-    this.#intake = new RequestIntake({ server: this.#server, ...(onTurn && { onTurn }) });
+    this.#intake = new RequestIntake(onTurn === undefined ? {} : { onTurn });
+    this.#intake.observe(this.#server);
     this.applyLimits(options.limits);
   }
 
