Submit a completion only while its caller is there, on the product's own interface too

The handler of the product's own interface submitted a request in the turn of the event loop that read it; the sidecar passed it to the engine before the close behind it was read.

The handler adds its requests to the same RequestIntake, which also accepts waiting connections first, and takes disconnects from the end of the socket. A request that was dropped is logged (HS4005).

--- a/entry/createCallerHandler.test.ts
+++ b/entry/createCallerHandler.test.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import { expect } from 'chai';
 import { listenHttp } from '../http/mod.ts';
+import { queueConnections } from '../http/testing/queueConnections.ts';
 import type { LogFields } from '../log/mod.ts';
 import type { Submission } from '../tasks/entry/mod.ts';
 import { createCallerHandler } from './createCallerHandler.ts';
@@ -74,4 +75,28 @@
     await listener.abort();
     expect(response).to.match(/^HTTP\/1\.1 401 [^]*connection: close/i);
   });
+
+  it('submits no request of a caller that left before it was read', async () => {
+    const submitted: string[] = [];
+    const handler = createCallerHandler({
+      task: {
+        submit: ({ requestId }) => submitted.push(requestId),
+        abandon: () => undefined,
+        mayBeCallerToken: () => true,
+        modelsOf: () => [],
+      },
+      log: () => undefined,
+    });
+    const listener = await listenHttp({ ip: '127.0.0.1', port: 0 }, handler);
+    const body = '{"model":"t/a@1","prompt":"","stream":true}';
+    await queueConnections({
+      port: listener.port,
+      count: 8,
+      request: () =>
+        `POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
+      departure: 'close',
+    }).closed;
+    await listener.abort();
+    expect(submitted).to.deep.equal([]);
+  });
 });
--- a/entry/createCallerHandler.ts
+++ b/entry/createCallerHandler.ts
@@ -5,7 +5,7 @@
 import { notRun } from '../core/outcome/mod.ts';
 import type { NotRun } from '../core/outcome/mod.ts';
 import { sha256 } from '../core/set/mod.ts';
-import { readBody, respondJson } from '../http/mod.ts';
+import { onCallerGone, readBody, RequestIntake, respondJson } from '../http/mod.ts';
 import type { HttpHandler } from '../http/mod.ts';
 import type { Log } from '../log/mod.ts';
 import { UNKNOWN_TOKEN } from '../tasks/entry/mod.ts';
@@ -31,6 +31,8 @@
   /** Bytes of a stream that may be buffered for a slow caller. @default 262144 */
   readonly maxUnreadBytes?: number;
   readonly log: Log;
+  /** Holds requests back until it is known that their callers have not left. @default a new one */
+  readonly intake?: RequestIntake;
 };
 
 type HttpExchange = {
@@ -67,12 +69,15 @@
 
   readonly #log: Log;
 
+  readonly #intake: RequestIntake;
+
   constructor(options: CallerHandlerOptions) {
     this.#task = options.task;
     this.#maxBodyBytes = options.maxBodyBytes ?? MEBIBYTE;
     this.#timeoutMs = options.timeoutMs ?? 60_000;
     this.#maxUnreadBytes = options.maxUnreadBytes ?? MEBIBYTE / 4;
     this.#log = options.log;
+    this.#intake = options.intake ?? new RequestIntake();
   }
 
   async serveCompletion(format: CompletionFormat, exchange: HttpExchange): Promise<void> {
@@ -164,17 +169,22 @@
     request: CallerRequest,
     onEvent: (event: SubmissionEvent) => void,
   ): void {
-    const { requestId: name, response } = exchange;
-    response.on('close', () => {
-      if (!response.writableEnded) this.#task.abandon(name);
-    });
-    const tokenSha256 = tokenDigest(exchange.request);
-    this.#task.submit({
-      requestId: name,
-      tokenSha256,
-      request,
-      timeoutMs: this.#timeoutMs,
-      onEvent,
+    const { requestId: name, request: message, response } = exchange;
+    const tokenSha256 = tokenDigest(message);
+    this.#intake.add({
+      request: message,
+      response,
+      handle: () => {
+        onCallerGone(message, response, () => this.#task.abandon(name));
+        this.#task.submit({
+          requestId: name,
+          tokenSha256,
+          request,
+          timeoutMs: this.#timeoutMs,
+          onEvent,
+        });
+      },
+      onCallerGone: () => this.#log('callerGone', { request: name }),
     });
   }
 }
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -112,6 +112,12 @@
     message: 'A caller read its stream too slowly; its connection was closed',
     remedy: 'Make the caller read faster, or raise unread_bytes under [limits]',
   },
+  callerGone: {
+    number: 'HS4005',
+    level: 'info',
+    message: 'A caller left before its request was handled; no backend server gets it',
+    remedy: 'None needed; if it repeats, see how late the entry reads its requests',
+  },
   orderEnded: {
     number: 'HS5001',
     level: 'info',
--- a/programs/startEntry.ts
+++ b/programs/startEntry.ts
@@ -1,7 +1,7 @@
 import { nanoid } from 'nanoid';
 import { createAdminHandler, createEntrySource, RecentEvents } from '../admin/mod.ts';
 import { createCallerHandler } from '../entry/mod.ts';
-import { listenHttp } from '../http/mod.ts';
+import { listenHttp, RequestIntake } from '../http/mod.ts';
 import { isWatcher } from '../core/membership/mod.ts';
 import type { Log } from '../log/mod.ts';
 import { createHttpConfiguration, createHttpHostList } from '../publishing/mod.ts';
@@ -66,6 +66,7 @@
     log,
     onHosts: (hosts) => task.applyHosts(hosts),
   });
+  const intake = new RequestIntake();
   const callers = await listenHttp(
     settings.listen.callers,
     createCallerHandler({
@@ -74,7 +75,9 @@
       timeoutMs: settings.limits.request_timeout,
       maxUnreadBytes: settings.limits.unread_bytes,
       log,
+      intake,
     }),
+    intake,
   );
   const admin = await listenHttp(
     settings.listen.admin,
