Let the gateway's timers act after the sockets have been read

In a turn of the event loop timers run before sockets are read. After a pause of the process, the timer for a silent server sent a repeatable request to a second server although its caller had left during the pause: a test that pauses the process for 0.9 s saw two runs before, one after, and an end as caller-gone.

Scheduled calls of the gateway run after the sockets that are readable by then have been read (readFirstClock), and a retry is sent in a later turn than the one that read the failure, since the close may have arrived together with it.

--- a/programs/serving/callerGone.test.ts
+++ b/programs/serving/callerGone.test.ts
@@ -1,10 +1,15 @@
 import { expect } from 'chai';
 import { queueConnections } from '../../http/testing/queueConnections.ts';
+import { openRawConnection } from '../../proxy/testing/rawConnection.ts';
+import { pauseProcess } from '../../transport/testing/pauseProcess.ts';
 import { startServingWorld } from './testing/servingWorld.ts';
 import type { ServingWorld } from './testing/servingWorld.ts';
 
 const REQUEST_COUNT = 8;
 
+/** Longer than the time after which a repeatable request is sent to another server. */
+const PAUSE_MS = 900;
+
 describe('a caller that left before the gateway read its request', () => {
   let world: ServingWorld;
 
@@ -60,3 +65,49 @@
     expect(world.engine.orders).to.deep.equal([]);
   });
 });
+
+describe('a caller that left during a pause of the gateway', () => {
+  let world: ServingWorld;
+
+  beforeEach(async () => {
+    world = await startServingWorld({ graceMs: 200 });
+  });
+
+  afterEach(async () => {
+    await world.close();
+  });
+
+  it('has its request sent to no other server, though the server was silent for too long', async () => {
+    // Idle connections to both servers let a retry leave at once.
+    const firstCalls = Array.from({ length: 12 }, (_, index) => `first-${index}`);
+    await Promise.all(firstCalls.map((id) => world.call({ id, path: '/look/first' })));
+    expect(world.apps.map(({ runs }) => runs.length)).to.not.include(0);
+    world.apps.forEach((app) => {
+      app.fault = 'silent';
+    });
+    const caller = openRawConnection(world.gateway.callerPort);
+    caller.socket.write(
+      'GET /look/1 HTTP/1.1\r\nHost: house.example\r\nX-Request-Id: gone\r\n\r\n',
+    );
+    await world.logged(
+      ({ event, fields }) => event === 'requestPlaced' && fields.request === 'gone',
+    );
+    caller.socket.destroy();
+    pauseProcess(PAUSE_MS);
+    const ended = await world.logged(
+      ({ event, fields }) => event === 'gatewayRequestEnded' && fields.request === 'gone',
+    );
+    expect(ended.fields.end).to.equal('caller-gone');
+    world.apps.forEach((app) => {
+      app.fault = 'none';
+    });
+    await world.call({ id: 'later', path: '/look/later' });
+    const runs = world.apps.flatMap((app) => app.runs);
+    const ids = runs.map(({ headers }) => headers['x-request-id']);
+    expect(ids.filter((id) => id === 'gone')).to.have.length.at.most(1);
+    const placements = world.lines.filter(
+      ({ event, fields }) => event === 'requestPlaced' && fields.request === 'gone',
+    );
+    expect(placements).to.have.length(1);
+  });
+});
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -6,7 +6,7 @@
 import { Metrics } from '../../metrics/mod.ts';
 import type { ProcessSettings } from '../../platform/mod.ts';
 import { Gateway, LoadSheddingTask } from '../../tasks/gateway/mod.ts';
-import { dialWebSocket, realClock } from '../../transport/mod.ts';
+import { dialWebSocket, readFirstClock, realClock } from '../../transport/mod.ts';
 import { splitAddress } from './_splitAddress.ts';
 import { NO_PEERS, startPeers } from './_startPeers.ts';
 import { serveReadiness } from './_serveReadiness.ts';
@@ -62,7 +62,7 @@
     retryShare: settings.retryShare,
     retrySlack: settings.retrySlack,
     maxKnownEntries: () => peers.maxKnownEntries(),
-    clock: realClock,
+    clock: readFirstClock,
     dial: dialWebSocket,
     log,
     metrics,
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -32,6 +32,7 @@
   readonly availabilityZone: string;
   /** Port on which the keepers listen. */
   readonly keeperPort: number;
+  /** Must run scheduled calls after reading the sockets that are readable by then. */
   readonly clock: Clock;
   readonly dial: Dial;
   readonly log: Log;
@@ -438,7 +439,8 @@
     });
     const isFree = outcome === 'not-sent';
     if (step === 'again' && (isFree || this.#retryBudgets.of(request.service.name).tryRetry())) {
-      this.#dispatch(request);
+      // Not at once, since the caller's close may have arrived together with the failure.
+      request.timers.push(clock.schedule(0, () => this.#dispatch(request)));
     } else if (request.caller.response.hasBegun()) {
       this.#abortResponse(request);
     } else if (request.mayHaveRunCount === 0) {
--- a/transport/mod.ts
+++ b/transport/mod.ts
@@ -1,4 +1,4 @@
 /** WebSocket connections between processes, and the process's clock. @module */
 export { dialWebSocket, listenWebSocket } from './webSocketTransport.ts';
 export type { ListenAddress, Listener } from './webSocketTransport.ts';
-export { realClock } from './realClock.ts';
+export { readFirstClock, realClock } from './realClock.ts';
