--- a/logs/_explainOutcome.ts
+++ b/logs/_explainOutcome.ts
@@ -27,6 +27,7 @@
   'servers-full': 'every backend server of its service was at its request limit',
   'no-place': 'no engine had a free place for its adapter, or too many loads were waiting',
   'load-late': 'its adapter was not loaded in time; the orders for it are above, if there were any',
+  deadline: 'its deadline passed while it waited to be handled, for an adapter or for a retry',
   'retry-budget': 'the retry budget of its service was used up',
   'not-run': 'the servers that it was sent to reported that they did not run it',
   'not-sent': 'the servers that it was sent to could not be reached',
@@ -85,12 +86,23 @@
   return `${summary}; ${comparison}: ${verdict}`;
 }
 
+/** Turns in a row that accepted a connection from which on connections wait in the listen queue. */
+const LONG_ACCEPT_RUN = 5;
+
+function explainCallerGone(end: LogLine): string {
+  if (end.reason !== 'not-handled') return 'its caller disconnected';
+  const { acceptRun, turnMs, waitedMs } = end;
+  const summary = `its caller left before it was handled, ${String(waitedMs)} ms after it was read; no server got it`;
+  if (Number(acceptRun) < LONG_ACCEPT_RUN) return summary;
+  return `${summary}; connections were waiting to be accepted, for ${String(acceptRun)} turns of the event loop, the last of ${String(turnMs)} ms: the entry was short of processor time`;
+}
+
 const CAUSES: Readonly<Record<string, (end: LogLine, evidence: OutcomeEvidence) => string>> = {
   answered: explainCompleteAnswer,
   refused: (end) => REFUSAL_CAUSES[String(end.reason)] ?? `it was refused: ${String(end.reason)}`,
   unknown: (_end, evidence) => explainFailedAttempt(evidence),
   'broken-off': (_end, evidence) => explainFailedAttempt(evidence),
-  'caller-gone': () => 'its caller disconnected',
+  'caller-gone': explainCallerGone,
   starting: (end) =>
     end.isLeaving === true ? 'its entry was shutting down' : 'its entry knew no configuration yet',
   'no-route': () => 'no route of the configuration in force matches it',
--- a/logs/traceRequest.test.ts
+++ b/logs/traceRequest.test.ts
@@ -3,12 +3,15 @@
 import { formatTrace, readLogLine, traceRequest } from './mod.ts';
 import type { LogLine, RequestTrace } from './mod.ts';
 
-const RECORDED = readFileSync(new URL('testing/recorded.jsonl', import.meta.url), 'utf8');
+function readLines(name: string): readonly LogLine[] {
+  const recorded = readFileSync(new URL(`testing/${name}`, import.meta.url), 'utf8');
+  return recorded.split('\n').flatMap((text) => readLogLine(text) ?? []);
+}
 
-const LINES: readonly LogLine[] = RECORDED.split('\n').flatMap((text) => readLogLine(text) ?? []);
+const LINES = readLines('recorded.jsonl');
 
-function trace(id: string): RequestTrace {
-  const found = traceRequest(LINES, id);
+function trace(id: string, lines = LINES): RequestTrace {
+  const found = traceRequest(lines, id);
   expect(found, id).to.not.equal(undefined);
   return found!;
 }
@@ -42,6 +45,22 @@
   });
 });
 
+describe('traceRequest, on recorded logs of callers that left', () => {
+  const lines = readLines('callersGone.jsonl');
+
+  it('tells that a request was not handled, and where it may have waited', () => {
+    const { cause } = trace('1aacc9cdde8ab359', lines);
+    expect(cause).to.match(/^caller-gone: its caller left before it was handled, 87 ms after/);
+    expect(cause).to.match(/waiting to be accepted, for 34 turns .*, the last of 29 ms/);
+  });
+
+  it('tells that the caller of a request in progress disconnected', () => {
+    const { cause, requestLines } = trace('80c003758724e6db', lines);
+    expect(cause).to.equal('caller-gone: its caller disconnected');
+    expect(requestLines.map(({ number }) => number)).to.deep.equal(['HS8019', 'HS8020']);
+  });
+});
+
 describe('readLogLine', () => {
   it('ignores text before the JSON, and returns undefined for other lines', () => {
     const text = '  12.3 host {"number":"HS1001","timestamp":"2026-01-21T23:00:23.614Z"}';
