Let a caller pipeline more than ten requests without a warning

Since the intake observes the end of the socket for each request, the eleventh pipelined request of a connection made Node.js warn of a leak on standard error (MaxListenersExceededWarning, seen in the new test before the change, not after). The number of listeners is bounded by the requests of the connection.

--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -103,6 +103,8 @@
     server.on('connection', (socket) => {
       this.#connections.set(socket, { acceptedAt: performance.now(), requests: 0 });
       this.#turns.noteAccepted();
+      // Each pipelined request observes the end of the socket.
+      socket.setMaxListeners(0);
       socket.once('close', () => this.#connections.delete(socket));
     });
   }
--- a/proxy/callerServer.test.ts
+++ b/proxy/callerServer.test.ts
@@ -84,6 +84,26 @@
     });
   });
 
+  describe('pipelined requests', () => {
+    it('are answered in order and cause no warning, however many they are', async () => {
+      const warnings: Error[] = [];
+      const noteWarning = (warning: Error): unknown => warnings.push(warning);
+      process.on('warning', noteWarning);
+      const text = Array.from(
+        { length: 30 },
+        (_, index) => `GET /${index} HTTP/1.1\r\nHost: a\r\n\r\n`,
+      ).join('');
+      await send(text).until(/(ok[^]*){30}/);
+      // Warnings are emitted in a later turn.
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+      process.off('warning', noteWarning);
+      expect(requests).to.have.length(30);
+      expect(warnings).to.deep.equal([]);
+    });
+  });
+
   describe('callers whose connections wait to be accepted', () => {
     it('are all accepted before a request is handled', async () => {
       const accepted: string[] = [];
