--- a/entry/createCallerHandler.test.ts
+++ b/entry/createCallerHandler.test.ts
@@ -94,7 +94,7 @@
       count: 8,
       request: () =>
         `POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
-      departure: 'close',
+      departure: () => 'close',
     }).closed;
     await listener.abort();
     expect(submitted).to.deep.equal([]);
--- a/http/testing/queueConnections.ts
+++ b/http/testing/queueConnections.ts
@@ -9,8 +9,8 @@
   readonly count: number;
   /** Returns the bytes that the caller with this index sends. */
   readonly request: (index: number) => string;
-  /** @default 'stay' */
-  readonly departure?: Departure;
+  /** Returns how the caller with this index leaves. @default stays */
+  readonly departure?: (index: number) => Departure;
 };
 
 /** Connections that the kernel has completed and this thread has not accepted. */
@@ -22,7 +22,7 @@
 const CALLERS = `
   const { connect } = require('node:net');
   const { parentPort, workerData } = require('node:worker_threads');
-  const { port, requests, departure, flag } = workerData;
+  const { port, requests, departures, flag } = workerData;
   const received = requests.map(() => '');
   let unsent = requests.length;
   let open = requests.length;
@@ -32,16 +32,16 @@
     Atomics.store(flag, 0, 1);
     Atomics.notify(flag, 0);
   }
-  const depart = {
+  const departureHandlers = {
     stay: (socket, text) => socket.write(text, noteSent),
     close: (socket, text) => socket.end(text, noteSent),
     reset: (socket, text) => {
       socket.once('close', noteSent);
       socket.write(text, () => socket.resetAndDestroy());
     },
-  }[departure];
+  };
   requests.forEach((text, index) => {
-    const socket = connect(port, '127.0.0.1', () => depart(socket, text));
+    const socket = connect(port, '127.0.0.1', () => departureHandlers[departures[index]](socket, text));
     socket.on('error', () => undefined);
     socket.on('data', (chunk) => { received[index] += chunk.toString('latin1'); });
     socket.on('close', () => {
@@ -56,12 +56,13 @@
  * blocked: afterwards they wait in the listen queue, with the request and the close behind it.
  */
 export function queueConnections(options: QueueConnectionsOptions): QueuedConnections {
-  const { port, count, request, departure = 'stay' } = options;
+  const { port, count, request, departure = () => 'stay' } = options;
   const flag = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
   const requests = Array.from({ length: count }, (_, index) => request(index));
+  const departures = requests.map((_, index) => departure(index));
   const worker = new Worker(CALLERS, {
     eval: true,
-    workerData: { port, requests, departure, flag },
+    workerData: { port, requests, departures, flag },
   });
   const closed = new Promise<readonly string[]>((resolve, reject) => {
     worker.once('error', reject);
--- a/programs/serving/callerGone.test.ts
+++ b/programs/serving/callerGone.test.ts
@@ -21,7 +21,7 @@
       request: (index) =>
         `POST ${path} HTTP/1.1\r\nHost: house.example\r\nX-Request-Id: gone-${index}\r\n` +
         `X-Deadline-Ms: 4000\r\n${headers}Content-Length: 0\r\n\r\n`,
-      departure: 'close',
+      departure: () => 'close',
     }).closed;
     // Orders and requests on their way to the servers are there before those of a later caller.
     await world.call({ id: 'later', path: '/look/later' });
--- a/proxy/callerServer.test.ts
+++ b/proxy/callerServer.test.ts
@@ -1,10 +1,12 @@
 import { expect } from 'chai';
+import fc from 'fast-check';
 import { CallerServer } from './mod.ts';
 import type { CallerRequest } from './mod.ts';
 import type { CallerLimits } from '../core/serving/mod.ts';
 import { openRawConnection } from './testing/rawConnection.ts';
 import type { RawConnection } from './testing/rawConnection.ts';
 import { queueConnections } from '../http/testing/queueConnections.ts';
+import type { Departure } from '../http/testing/queueConnections.ts';
 
 const LIMITS: CallerLimits = {
   maxHeaderBytes: 4096,
@@ -78,10 +80,38 @@
 
     (['close', 'reset'] as const).forEach((departure) => {
       it(`has no request handled (${departure})`, async () => {
-        await queueConnections({ port: server.port, count: 12, request, departure }).closed;
+        await queueConnections({
+          port: server.port,
+          count: 12,
+          request,
+          departure: () => departure,
+        }).closed;
         expect(requests.map(({ path }) => path)).to.deep.equal([]);
       });
     });
+
+    it('is told apart from callers that stayed, whatever their order', async () => {
+      const departures = fc.array(fc.constantFrom<Departure>('stay', 'close', 'reset'), {
+        minLength: 1,
+        maxLength: 30,
+      });
+      await fc.assert(
+        fc.asyncProperty(departures, async (each) => {
+          requests = [];
+          const received = await queueConnections({
+            port: server.port,
+            count: each.length,
+            request: (index) => `GET /${index} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n`,
+            departure: (index) => each[index] ?? 'stay',
+          }).closed;
+          const stayed = each.flatMap((departure, index) => (departure === 'stay' ? index : []));
+          const handled = requests.map(({ path }) => Number(path.slice(1)));
+          expect([...handled].sort((a, b) => a - b)).to.deep.equal(stayed);
+          stayed.forEach((index) => expect(received[index]).to.match(/ 200 OK[^]*ok$/));
+        }),
+        { seed: 20, numRuns: 12 },
+      );
+    });
   });
 
   describe('pipelined requests', () => {
