--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -119,7 +119,7 @@
     return this.#turns.acceptRun;
   }
 
-  /** How long the oldest request that is not handled yet has waited. */
+  /** How long the oldest request that was read and is not handled yet has waited. */
   get oldestWaitMs(): Milliseconds {
     return this.#queue.oldestWaitMs(performance.now());
   }
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -109,7 +109,9 @@
   loadShedding.start();
   records.start();
   metrics.gauge('open_requests', () => gateway.openRequestCount);
+  metrics.gauge('open_connections', () => server.openConnectionCount);
   metrics.gauge('accept_run', () => server.acceptRun);
+  metrics.gauge('intake_wait_ms', () => Math.round(server.oldestWaitMs));
   metrics.gauge('known_servers', () => gateway.servers.size);
   metrics.gauge('deployment_version', () => gateway.deployment?.version ?? 0);
   const closeMetrics = serveMetrics(settings.ip, metricsPort, metrics);
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -133,6 +133,11 @@
     return this.#intake.acceptRun;
   }
 
+  /** How long the oldest request that was read and is not handled yet has waited. */
+  get oldestWaitMs(): Milliseconds {
+    return this.#intake.oldestWaitMs;
+  }
+
   /** Number of open connections. */
   get openConnectionCount(): number {
     return this.#intake.connectionCount;
