Cancel the due call before it runs in the test of readFirstClock

Cause: it started two timers of 1 ms and took for granted that both fall due in one turn of the event loop. With 5 ms between their starts the first call has run before the second cancels it, and the test fails each time; the clock is not at fault. Now the process is paused until both are due.

--- a/transport/realClock.test.ts
+++ b/transport/realClock.test.ts
@@ -37,12 +37,15 @@
     const cancel = readFirstClock.schedule(1, () => {
       hasRun = true;
     });
-    await new Promise<void>((resolve) => {
+    const cancelled = new Promise<void>((resolve) => {
       setTimeout(() => {
         cancel();
         setImmediate(() => setImmediate(resolve));
       }, 1);
     });
+    // Both timers are due in the same turn, so that the call is cancelled before it runs.
+    pauseProcess(10);
+    await cancelled;
     expect(hasRun).to.equal(false);
   });
 });
