Log the limits that backend servers name, and count the requests sent to them

Neither logs nor metrics showed which entry had seen a server name a limit, so that a limit that nobody reads could not be told from one that each entry keeps for itself. Nothing decides by it yet.

--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -308,6 +308,24 @@
     message: 'A request with a quarantined trait is sent to a backend server to test the verdict',
     remedy: 'None needed',
   },
+  serverLimitNamed: {
+    number: 'HS8030',
+    level: 'warn',
+    message: 'A backend server in need names the requests a second that it takes from all hosts',
+    remedy: 'Find out what the server lacks, or add servers to its service',
+  },
+  serverLimitEnded: {
+    number: 'HS8031',
+    level: 'info',
+    message: 'A backend server names its limit no more; its load comes back gradually',
+    remedy: 'None needed',
+  },
+  serverLimitInvalid: {
+    number: 'HS8032',
+    level: 'warn',
+    message: 'A backend server names a limit that is not a positive decimal number; it is ignored',
+    remedy: 'Correct the header in the backend server',
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
 /** The name of a log event. */
--- a/tasks/gateway/_forwardResponse.ts
+++ b/tasks/gateway/_forwardResponse.ts
@@ -14,8 +14,8 @@
 export type ForwardResponseOptions = {
   readonly request: OpenRequest;
   readonly clock: Clock;
-  /** Called with the status of each response, before it is classified. */
-  readonly onHead: (status: number) => void;
+  /** Called with the head of each response, before it is classified. */
+  readonly onHead: (status: number, response: ResponseHeaders) => void;
   /** Called before `onFailure` when no connection to the server could be opened. */
   readonly onUnreachable: () => void;
   /** Called once the response has been written for some time without crashing its server. */
@@ -118,7 +118,7 @@
       const response = decodeResponseHeaders(headers);
       isFramed = response.isFramed;
       isOk = status === OK_STATUS;
-      options.onHead(status);
+      options.onHead(status, response);
       const verdict = classifyHead(request, status, response);
       if (verdict === 'foreign') {
         onFailure(
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -12,7 +12,7 @@
 import type { Deployment, ModelName, Service } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
-import { decodeRequestHeaders, encodeRequestHeaders } from '../../platform/mod.ts';
+import { decodeRequestHeaders } from '../../platform/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 import { respondLocally } from './_respondLocally.ts';
 import { CrashGuard } from './_crashGuard.ts';
@@ -20,12 +20,14 @@
 import { openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
 import { clearAwaitingFirstByte, forwardResponse } from './_forwardResponse.ts';
+import { outboundRequest } from './_outboundRequest.ts';
 import { QuarantineGate } from './_quarantineGate.ts';
 import { jitterRetryAfter, retryDelayMs } from './_retryAfter.ts';
 import { RetryBudgets } from './_retryBudgets.ts';
 import type { RetryBudgetsOptions, RetryLimits } from './_retryBudgets.ts';
 import { SETTLE_MS } from './_serverEnds.ts';
 import { ServerHealth } from './_serverHealth.ts';
+import { ServerLimits } from './_serverLimits.ts';
 import { ServerTable } from './_serverTable.ts';
 import { StartupHold } from './_startupHold.ts';
 
@@ -54,9 +56,6 @@
 /** Longest wait for an adapter load, as a share of the route's latency objective. */
 const MAX_LOAD_WAIT_SHARE = 0.9;
 
-/** Least urgent priority that engines accept. */
-const LOWEST_PRIORITY = 9;
-
 /** Shortest timeout of an attempt; a healthy server responds within some tens of milliseconds. */
 const MIN_ATTEMPT_TIMEOUT_MS: Milliseconds = 50;
 
@@ -78,6 +77,8 @@
 
   readonly #health: ServerHealth;
 
+  readonly #limits: ServerLimits;
+
   readonly #guard: CrashGuard;
 
   readonly #gate: QuarantineGate;
@@ -97,6 +98,7 @@
     this.#options = options;
     this.#retryBudgets = new RetryBudgets(options);
     this.#health = new ServerHealth(options.clock);
+    this.#limits = new ServerLimits(options);
     this.#hold = new StartupHold(options.clock);
     this.#table = new ServerTable({
       ...options,
@@ -104,6 +106,7 @@
       onServerChange: (view) => this.#dispatchAwaiting(view),
       onServerRemoved: (id) => {
         this.#health.forget(id);
+        this.#limits.registry.forget(id);
         this.#guard.forget(id);
       },
     });
@@ -327,7 +330,7 @@
 
   #send(request: OpenRequest, view: ServerView): void {
     const { clock } = this.#options;
-    const { head, caller, route } = request;
+    const { head, caller } = request;
     const attemptEpoch = request.attemptEpoch + 1;
     const now = clock.now();
     request.view = view;
@@ -337,32 +340,17 @@
     request.writingSince = undefined;
     request.isProvenSound = false;
     this.#guard.noteSent(request);
+    this.#limits.noteSent(view.server.id);
     request.isAwaitingFirstByte = true;
     view.awaitingFirstByte += 1;
     this.#table.noteSent(view, head.modelName);
-    const version = this.#minVersion(head.modelName);
     request.attempt = this.#table.connectionsOf(view.server).send(
-      {
-        method: caller.method,
-        path: caller.path,
-        headers: encodeRequestHeaders(head, {
-          deadlineMs: request.deadlineAt - now,
-          serverId: view.server.id,
-          ...(version > 0 && { version }),
-          ...(request.eventBuffer?.lastEventId !== undefined && {
-            lastEventId: request.eventBuffer.lastEventId,
-          }),
-          ...(request.service.engine !== undefined && {
-            priority: Math.min(LOWEST_PRIORITY, route.priority),
-          }),
-        }),
-        body: caller.body,
-        needsRecentConnection: route.repeatability === 'once',
-      },
+      outboundRequest(request, view, this.#minVersion(head.modelName), now),
       forwardResponse({
         request,
         clock,
-        onHead: (status) => {
+        onHead: (status, response) => {
+          this.#limits.noteHead(request, status, response);
           if (status !== MISDIRECTED_STATUS || head.modelName === undefined) return;
           view.noteMissing(head.modelName, clock.now());
         },
