--- /dev/null
+++ b/programs/serving/serverLimit.test.ts
@@ -0,0 +1,111 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import type { BackendServerStandin } from '../../platform/testing/mod.ts';
+import { startEntryFleet } from './testing/entryFleet.ts';
+import type { EntryFleet } from './testing/entryFleet.ts';
+import type { CallerResult } from './testing/servingWorld.ts';
+
+/** Time after a limit is named from which on it must be kept. */
+const LEARNING_MS = 3000;
+
+/** Time after it is named from which on requests count. */
+const TELLING_MS = 500;
+
+const WINDOW_MS = 4000;
+
+const DURATION_MS = 6500;
+
+/** Time between two requests of one entry. */
+const SENDING_INTERVAL_MS = 40;
+
+/** The most requests in any window once the entries had time to learn of a limit. */
+function worstWindow({ arrivals }: BackendServerStandin, namedAt: number): number {
+  const counted = arrivals.filter((at) => at >= namedAt + TELLING_MS);
+  return counted
+    .filter((at) => at >= namedAt + LEARNING_MS)
+    .reduce((worst, end) => {
+      const count = counted.filter((at) => at > end - WINDOW_MS && at <= end).length;
+      return Math.max(worst, count);
+    }, 0);
+}
+
+function allowedIn(perSecond: number): number {
+  return (1.5 * perSecond * WINDOW_MS) / 1000 + 5;
+}
+
+describe('a server that names a limit', () => {
+  let fleet: EntryFleet;
+
+  beforeEach(async () => {
+    fleet = await startEntryFleet({ entries: 3, plainServers: 3, engines: 3 });
+  });
+
+  afterEach(async () => {
+    await fleet.close();
+  });
+
+  /** Sends requests to all entries for some time; returns the results. */
+  async function play(path: string, model?: string): Promise<readonly CallerResult[]> {
+    const results: Promise<CallerResult>[] = [];
+    const startedAt = performance.now();
+    while (performance.now() < startedAt + DURATION_MS) {
+      fleet.entries.forEach((entry, index) => {
+        const id = `r${results.length}-${index}`;
+        const call = entry.call({
+          id,
+          path: `${path}${id}`,
+          headers: model === undefined ? {} : { 'X-Model': model },
+        });
+        results.push(call);
+      });
+      await sleep(SENDING_INTERVAL_MS);
+    }
+    return Promise.all(results);
+  }
+
+  const kinds = [
+    { kind: 'requests that may be repeated', path: '/look/', isStream: false },
+    { kind: 'requests that may run at most once', path: '/book/', isStream: false },
+    { kind: 'streams of a model', path: '/draft/', isStream: true, model: 'm' },
+  ];
+
+  kinds.forEach(({ kind, path, isStream, model }) => {
+    function serversOfKind(): readonly BackendServerStandin[] {
+      return isStream ? fleet.servers.slice(3) : fleet.servers.slice(0, 3);
+    }
+
+    it(`gets no more from all entries than it takes, and the others get the rest (${kind})`, async () => {
+      const [scarce, low] = serversOfKind();
+      fleet.servers.forEach((server) => {
+        server.fault = isStream ? 'stream' : 'none';
+      });
+      scarce!.namedLimit = '1.0';
+      low!.namedLimit = '5';
+      const namedAt = performance.now();
+      const results = await play(path, model);
+      expect(worstWindow(scarce!, namedAt)).to.be.at.most(allowedIn(1));
+      expect(worstWindow(low!, namedAt)).to.be.at.most(allowedIn(5));
+      expect(results.filter(({ status }) => status !== 200)).to.have.length.at.most(
+        results.length / 20,
+      );
+    });
+
+    it(`gets no more than it takes while all servers name a limit; the rest is refused (${kind})`, async () => {
+      const servers = serversOfKind();
+      fleet.servers.forEach((server) => {
+        server.fault = isStream ? 'stream' : 'none';
+        server.namedLimit = '4';
+      });
+      const namedAt = performance.now();
+      const results = await play(path, model);
+      servers.forEach((server) => {
+        expect(worstWindow(server, namedAt)).to.be.at.most(allowedIn(4));
+      });
+      const refused = results.filter(({ status }) => status === 503);
+      expect(refused).to.have.length.at.least(results.length / 2);
+      expect(refused.filter(({ headers }) => headers['retry-after'] === undefined)).to.have.length(
+        0,
+      );
+    });
+  });
+});
