Keep the limits that backend servers name, over all entries together

What callers saw: nothing at first; a server in need got 50 requests in 4 s where 35 were allowed, and went on being chosen like any other. Cause: a server says in its responses what it takes from all hosts together, and nobody read it. Class: what a server says of itself to one entry that all have to go by. Evidence: the limit is in no log line, metric or decision; with one entry alone the excess is the same as with ten. Change: entries pass on named limits with their gossip. An entry sends a request to a limited server only with a permit; it chooses other servers first, loads adapters on servers without a limit, and waits or refuses with the expected wait if there is none.

--- a/core/dispatch/chooseServer.test.ts
+++ b/core/dispatch/chooseServer.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { BackendServer } from '../serving/mod.ts';
 import { chooseServer, ServerView } from './mod.ts';
-import type { ServerChoiceRequest } from './mod.ts';
+import type { LimitedServers, ServerChoiceRequest } from './mod.ts';
 
 type ViewOptions = {
   readonly holdings?: Readonly<Record<string, number>>;
@@ -215,6 +215,80 @@
     });
   });
 
+  describe('for servers that name a limit', () => {
+    function limited(named: readonly string[], permitted: readonly string[] = []): LimitedServers {
+      return { named: new Set(named), permitted: new Set(permitted) };
+    }
+
+    const held = { holdings: { 'm/a1': 1 } };
+
+    it('passes over a holder without a permit', () => {
+      const choice = chooseServer({ ...REQUEST, limited: limited(['a']) }, [
+        view('a', held),
+        view('b', { ...held, running: 30 }),
+      ]);
+      expect(choice.kind === 'send' && choice.view.server.id).to.equal('b');
+    });
+
+    it('chooses a holder with a permit like any other', () => {
+      const choice = chooseServer({ ...REQUEST, limited: limited(['a'], ['a']) }, [
+        view('a', held),
+        view('b', { ...held, running: 30 }),
+      ]);
+      expect(choice.kind === 'send' && choice.view.server.id).to.equal('a');
+    });
+
+    it('loads the adapter on a server without a limit rather than wait for its only holder', () => {
+      const choice = chooseServer({ ...REQUEST, limited: limited(['a', 'b'], ['b']) }, [
+        view('a', held),
+        view('b'),
+        view('c', { running: 20 }),
+      ]);
+      expect(choice.kind === 'load' && choice.view.server.id).to.equal('c');
+    });
+
+    it('waits for the only holder if no server without a limit can load the adapter in time', () => {
+      const holder = view('a', held);
+      const choice = chooseServer({ ...REQUEST, limited: limited(['a']) }, [
+        holder,
+        view('full', { freeablePlaces: 0 }),
+      ]);
+      expect(choice).to.deep.equal({ kind: 'await-permit', views: [holder] });
+    });
+
+    it('waits for the holders if all servers name a limit, and loads what none holds', () => {
+      const servers = [view('a', held), view('b'), view('c')];
+      const request = { ...REQUEST, limited: limited(['a', 'b', 'c']) };
+      expect(chooseServer(request, servers)).to.deep.equal({
+        kind: 'await-permit',
+        views: [servers[0]],
+      });
+      expect(chooseServer({ ...request, modelName: 'm/a2' }, servers).kind).to.equal('load');
+    });
+
+    it('loads no further copy on a server with a limit', () => {
+      const busy = view('busy', { ...held, running: 50, pauseMs: 200 });
+      const choice = chooseServer({ ...REQUEST, limited: limited(['b'], ['b']) }, [
+        busy,
+        view('b', { running: 5 }),
+      ]);
+      expect(choice.kind === 'send' && choice.replicaTarget).to.equal(undefined);
+    });
+
+    it('waits for any of the servers of a service without models', () => {
+      const { modelName, ...plain } = REQUEST;
+      expect(modelName).to.equal('m/a1');
+      const servers = [view('a'), view('b')];
+      const request = { ...plain, limited: limited(['a', 'b']) };
+      expect(chooseServer(request, servers)).to.deep.equal({
+        kind: 'await-permit',
+        views: servers,
+      });
+      const permitted = { ...plain, limited: limited(['a', 'b'], ['b']) };
+      expect(chooseServer(permitted, servers)).to.include({ kind: 'send', view: servers[1] });
+    });
+  });
+
   describe('for a service without models', () => {
     it('chooses a server in the same zone at equal load, otherwise the one with less load', () => {
       const plain = { minVersion: 0, batchWidth: 1, maxLoadWaitMs: 0, now: NOW };
--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -5,13 +5,15 @@
 import type { ServerView } from './serverView.ts';
 
 /**
- * What to do with a request: send it to a server, load its adapter on a server first, or refuse it.
+ * What to do with a request: send it to a server, load its adapter on a server first, wait until one of
+ * some servers with a limit takes it, or refuse it.
  *
  * `replicaTarget` names a server that should load a further copy of the adapter meanwhile.
  */
 export type ServerChoice =
   | { readonly kind: 'send'; readonly view: ServerView; readonly replicaTarget?: ServerView }
   | { readonly kind: 'load'; readonly view: ServerView }
+  | { readonly kind: 'await-permit'; readonly views: readonly ServerView[] }
   | {
       readonly kind: 'refuse';
       readonly reason: RefusalReason;
@@ -21,6 +23,13 @@
 /** Why no server can start a request in time. */
 export type RefusalReason = 'no-server' | 'servers-full' | 'no-place';
 
+/** The servers that take only so many requests a second, by id. */
+export type LimitedServers = {
+  readonly named: ReadonlySet<string>;
+  /** Those of them that take a request now. */
+  readonly permitted: ReadonlySet<string>;
+};
+
 /** What the choice of a server depends on. */
 export type ServerChoiceRequest = {
   /** The adapter or base model; absent for services without models. */
@@ -36,6 +45,8 @@
   readonly now: Milliseconds;
   /** The availability zone of this entry. */
   readonly availabilityZone: string;
+  /** @default none */
+  readonly limited?: LimitedServers;
 };
 
 /** Retry delay for callers when no server is ready; a server starts within seconds. */
@@ -90,6 +101,16 @@
 /** Weight, in requests, of the new request in the stall cost, since it waits for its prefill as well. */
 const OWN_REQUEST_STALL_WEIGHT = 4;
 
+/** Whether a server takes only so many requests a second. */
+function isLimited({ limited }: ServerChoiceRequest, { server }: ServerView): boolean {
+  return limited !== undefined && limited.named.has(server.id);
+}
+
+/** Whether a server takes a request now, as far as its limit is concerned. */
+function isOpen(request: ServerChoiceRequest, view: ServerView): boolean {
+  return !isLimited(request, view) || request.limited!.permitted.has(view.server.id);
+}
+
 /** The mean pause to expect in new streams of a server: at least the usual one, longer under load. */
 function expectedPauseMs(view: ServerView, now: Milliseconds): Milliseconds {
   return Math.max(view.pauseMs(now), view.usualPauseMs);
@@ -252,6 +273,22 @@
   return preferredLoadTarget(modelName, candidates);
 }
 
+/**
+ * Loads the adapter on a server without a limit, or waits for a holder that has one. A copy on another
+ * server with a limit would not let more requests through.
+ */
+function chooseWithoutOpenHolder(
+  request: ServerChoiceRequest,
+  ready: readonly ServerView[],
+  closedHolders: readonly ServerView[],
+): ServerChoice {
+  const unlimited = ready.filter((view) => !isLimited(request, view));
+  const hasChoice = unlimited.length > 0 || closedHolders.length === 0;
+  const choice = chooseLoadTarget(request, unlimited.length > 0 ? unlimited : ready);
+  if (hasChoice && (choice.kind === 'load' || closedHolders.length === 0)) return choice;
+  return { kind: 'await-permit', views: closedHolders };
+}
+
 /**
  * Chooses a server for a request, or refuses the request if no server can start it in time.
  *
@@ -267,8 +304,10 @@
   if (ready.length === 0) {
     return { kind: 'refuse', reason: 'no-server', retryAfterMs: NO_SERVER_RETRY_AFTER_MS };
   }
-  const available = ready.filter((view) => view.load < view.server.slots * MAX_REQUESTS_PER_SLOT);
-  if (available.length === 0) {
+  const free = ready.filter((view) => view.load < view.server.slots * MAX_REQUESTS_PER_SLOT);
+  const available = free.filter((view) => isOpen(request, view));
+  const closed = free.filter((view) => !isOpen(request, view));
+  if (free.length === 0) {
     return { kind: 'refuse', reason: 'servers-full', retryAfterMs: OVERLOAD_RETRY_AFTER_MS };
   }
   if (modelName === undefined) {
@@ -276,16 +315,23 @@
       const isSameZone = view.server.availabilityZone === request.availabilityZone;
       return view.firstByteMs * (1 + view.inFlight + (isSameZone ? 0 : CROSS_ZONE_COST));
     };
-    return { kind: 'send', view: lowestCostView(available, cost)! };
+    const best = lowestCostView(available, cost);
+    return best === undefined
+      ? { kind: 'await-permit', views: closed }
+      : { kind: 'send', view: best };
   }
   const holders = available.filter((view) => view.holds(modelName, minVersion));
+  const unlimited = ready.filter((view) => !isLimited(request, view));
   if ((request.promptTokens ?? 0) > LONG_PROMPT_TOKENS) {
-    const choice = chooseForLongPrompt(request, ready, holders);
+    const choice = chooseForLongPrompt(request, unlimited, holders);
     if (choice !== undefined) return choice;
   }
   const best = lowestCostView(holders, (view) => requestCost(view, request));
-  if (best === undefined) return chooseLoadTarget(request, ready);
-  const replicaTarget = chooseReplicaTarget(request, ready, best);
+  if (best === undefined) {
+    const closedHolders = closed.filter((view) => view.holds(modelName, minVersion));
+    return chooseWithoutOpenHolder(request, ready, closedHolders);
+  }
+  const replicaTarget = chooseReplicaTarget(request, unlimited, best);
   return {
     kind: 'send',
     view: best,
--- a/core/dispatch/mod.ts
+++ b/core/dispatch/mod.ts
@@ -1,6 +1,11 @@
 /** Server selection, response classification and retry decisions. @module */
 export { chooseServer } from './chooseServer.ts';
-export type { ServerChoice, ServerChoiceRequest, RefusalReason } from './chooseServer.ts';
+export type {
+  LimitedServers,
+  ServerChoice,
+  ServerChoiceRequest,
+  RefusalReason,
+} from './chooseServer.ts';
 export { classifyResponse, MISDIRECTED_STATUS } from './classifyResponse.ts';
 export type { AttemptedRequest, ResponseHead, ResponseVerdict } from './classifyResponse.ts';
 export { mayRunAgain } from './mayRunAgain.ts';
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -326,6 +326,12 @@
     message: 'A backend server names a limit that is not a positive decimal number; it is ignored',
     remedy: 'Correct the header in the backend server',
   },
+  permitIssuerSilent: {
+    number: 'HS8033',
+    level: 'warn',
+    message: 'An entry that issues permits for servers with a limit does not answer',
+    remedy: 'Look at the log of that entry; the next one in order issues them for some seconds',
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
 /** The name of a log event. */
--- a/programs/serving/_startPeers.ts
+++ b/programs/serving/_startPeers.ts
@@ -1,9 +1,15 @@
 import type { Milliseconds } from '../../core/clock/mod.ts';
 import type { MirrorUpdate } from '../../core/mirror/mod.ts';
+import type { Reach } from '../../core/serverLimits/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { ProcessSettings, SocketAddress } from '../../platform/mod.ts';
 import { PeerTask } from '../../tasks/gateway/mod.ts';
-import type { Mirrors, SharedQuarantine } from '../../tasks/gateway/mod.ts';
+import type {
+  Mirrors,
+  SharedLimits,
+  SharedPermits,
+  SharedQuarantine,
+} from '../../tasks/gateway/mod.ts';
 import { dialWebSocket, listenWebSocket, realClock } from '../../transport/mod.ts';
 import { splitAddress } from './_splitAddress.ts';
 
@@ -13,8 +19,10 @@
   readonly maxKnownEntries: () => number | undefined;
   /** Addresses of the other live entries. */
   readonly names: () => readonly string[];
-  /** Sends changes of the quarantine to the other entries. */
-  readonly pushQuarantine: () => void;
+  /** How many of the known entries are in touch with this one, itself included. */
+  readonly reach: () => Reach;
+  /** Sends changes of the shared state to the other entries. */
+  readonly pushChanges: () => void;
   /** Recently reported event-loop lags of the other entries. */
   readonly lagsMs: () => readonly Milliseconds[];
   readonly applySeeds: (seeds: readonly SocketAddress[]) => void;
@@ -27,6 +35,8 @@
   readonly log: Log;
   readonly mirrors: Mirrors;
   readonly quarantine: SharedQuarantine;
+  readonly limits: SharedLimits;
+  readonly permits: SharedPermits;
   /** Returns the mean event-loop lag of this process. */
   readonly lagMs: () => Milliseconds;
   /** Called with an update from an entry whose mirror is newer. */
@@ -37,7 +47,8 @@
 export const NO_PEERS: Peers = {
   maxKnownEntries: () => undefined,
   names: () => [],
-  pushQuarantine: () => undefined,
+  reach: () => ({ known: 1, reachable: 1 }),
+  pushChanges: () => undefined,
   lagsMs: () => [],
   applySeeds: () => undefined,
   close: () => Promise.resolve(),
@@ -45,7 +56,7 @@
 
 /** Starts gossip with the other entries; returns `NO_PEERS` on a host without a gossip address. */
 export async function startPeers(options: StartPeersOptions): Promise<Peers> {
-  const { settings, log, mirrors, quarantine, lagMs, onUpdate } = options;
+  const { settings, log, mirrors, quarantine, limits, permits, lagMs, onUpdate } = options;
   const { peerAddress, seeds } = settings;
   if (peerAddress === undefined) return NO_PEERS;
   const peers = new PeerTask({
@@ -53,6 +64,8 @@
     seeds,
     mirrors,
     quarantine,
+    limits,
+    permits,
     clock: realClock,
     dial: dialWebSocket,
     log,
@@ -64,7 +77,8 @@
   return {
     maxKnownEntries: () => peers.maxKnownEntries,
     names: () => peers.members,
-    pushQuarantine: () => peers.pushQuarantine(),
+    reach: () => peers.reach,
+    pushChanges: () => peers.pushChanges(),
     lagsMs: () => peers.lagsMs,
     applySeeds: (changed) => peers.applySeeds(changed),
     close: () => {
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -64,7 +64,8 @@
     maxKnownEntries: () => peers.maxKnownEntries(),
     peerName: settings.peerAddress,
     peerNames: () => peers.names(),
-    onQuarantineChange: () => peers.pushQuarantine(),
+    peerReach: () => peers.reach(),
+    onSharedChange: () => peers.pushChanges(),
     clock: readFirstClock,
     dial: dialWebSocket,
     log,
@@ -101,6 +102,8 @@
     log,
     mirrors: records.mirrors,
     quarantine: gateway.quarantine,
+    limits: gateway.limits.registry,
+    permits: gateway.limits.permits,
     lagMs: () => loadShedding.lagMs,
     onUpdate: (prefix, update) => records.applyPeerUpdate(prefix, update),
   });
--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -16,7 +16,7 @@
   now: Milliseconds,
   deployment: Deployment | undefined,
 ): LogFields {
-  const view = choice.kind === 'refuse' ? undefined : choice.view;
+  const view = 'view' in choice ? choice.view : undefined;
   const keeperReceivedAt = view?.keeper?.receivedAt;
   return {
     request: request.head.requestId,
--- /dev/null
+++ b/tasks/gateway/_limitGate.ts
@@ -0,0 +1,146 @@
+import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
+import type { LimitedServers, ServerView } from '../../core/dispatch/mod.ts';
+import type { OpenRequest } from './_openRequest.ts';
+import type { ServerLimits } from './_serverLimits.ts';
+
+/** Options of `LimitGate`. */
+export type LimitGateOptions = {
+  readonly clock: Clock;
+  readonly limits: ServerLimits;
+  /** Chooses a server for a request and sends it. */
+  readonly dispatch: (request: OpenRequest) => void;
+  /** Refuses a request that no server takes in time. */
+  readonly refuse: (request: OpenRequest, retryAfterMs: Milliseconds) => void;
+};
+
+/** Interval at which permits are requested again while requests wait. */
+const REQUEST_INTERVAL_MS: Milliseconds = 50;
+
+/** Longest wait for a permit that the next request can use as well. */
+const ADVANCE_WAIT_MS: Milliseconds = 1000;
+
+/** Lead of each step of urgency over requests that arrived earlier. */
+const PRIORITY_STEP_MS: Milliseconds = 200;
+
+/** Shortest `Retry-After`. */
+const MIN_RETRY_AFTER_MS: Milliseconds = 300;
+
+const MILLISECONDS_IN_SECOND = 1000;
+
+type Waiting = {
+  readonly request: OpenRequest;
+  readonly views: readonly ServerView[];
+  readonly until: Milliseconds;
+};
+
+/** Holds requests until they may be sent to a server with a limit, or refuses them. */
+export class LimitGate {
+  readonly #options: LimitGateOptions;
+
+  readonly #waiting = new Map<OpenRequest, Waiting>();
+
+  #cancelRequests: Cancellation | undefined;
+
+  constructor(options: LimitGateOptions) {
+    this.#options = options;
+  }
+
+  /** Returns which servers name a limit, and requests permits for those that the request might use. */
+  limitedServers(request: OpenRequest, views: readonly ServerView[]): LimitedServers {
+    const { limits } = this.#options;
+    const limited = views.filter(({ server }) => limits.isLimited(server.id));
+    const { modelName } = request.head;
+    const isPlain = request.service.engine === undefined || modelName === undefined;
+    limited
+      .filter((view) => view.isReady && (isPlain || view.holds(modelName, 0)))
+      .forEach((view) => this.#requestPermit(request, view));
+    const permitted = limited.filter(({ server }) => limits.isOpen(server.id));
+    return {
+      named: new Set(limited.map(({ server }) => server.id)),
+      permitted: new Set(permitted.map(({ server }) => server.id)),
+    };
+  }
+
+  /** Holds a request until one of the servers takes it, or refuses it if none will in time. */
+  hold(request: OpenRequest, views: readonly ServerView[], maxWaitMs: Milliseconds): void {
+    const { clock, dispatch } = this.#options;
+    const now = clock.now();
+    request.permitWaitUntil ??= now + maxWaitMs;
+    const until = request.permitWaitUntil;
+    const waiting = { request, views, until };
+    this.#waiting.set(request, waiting);
+    views.forEach((view) => this.#requestPermit(request, view));
+    if (this.#refuseIfLate(waiting)) return;
+    request.timers.push(
+      clock.schedule(until - now, () => {
+        if (this.#waiting.delete(request) && !request.isFinished) dispatch(request);
+      }),
+    );
+    this.#scheduleRequests();
+  }
+
+  /** Dispatches the most urgent requests that a server takes now, and refuses those that it cannot take in time. */
+  noteAnswer(serverId: string): void {
+    const { limits, dispatch } = this.#options;
+    this.#ordered(serverId).forEach((waiting) => {
+      if (!limits.isOpen(serverId)) this.#refuseIfLate(waiting);
+      else if (this.#waiting.delete(waiting.request)) dispatch(waiting.request);
+    });
+  }
+
+  /** Forgets a request that has ended. */
+  forget(request: OpenRequest): void {
+    this.#waiting.delete(request);
+  }
+
+  /** The requests that wait for a server, the most urgent first. */
+  #ordered(serverId: string): readonly Waiting[] {
+    const rank = ({ request }: Waiting): Milliseconds =>
+      request.acceptedAt + request.route.priority * PRIORITY_STEP_MS;
+    return [...this.#waiting.values()]
+      .filter(({ views }) => views.some(({ server }) => server.id === serverId))
+      .sort((a, b) => rank(a) - rank(b));
+  }
+
+  /** Refuses a request whose turn at none of its servers comes in time. Returns whether it did. */
+  #refuseIfLate(waiting: Waiting): boolean {
+    const { clock, refuse } = this.#options;
+    const { request, views, until } = waiting;
+    const waitMs = Math.min(...views.map((view) => this.#expectedWaitMs(request, view)));
+    const leftMs = until - clock.now();
+    if (leftMs > 0 && waitMs <= leftMs) return false;
+    this.#waiting.delete(request);
+    refuse(request, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+    return true;
+  }
+
+  /** The least time until a server takes a request: what its permits need for all that are ahead of it. */
+  #expectedWaitMs(request: OpenRequest, { server }: ServerView): Milliseconds {
+    const { limits } = this.#options;
+    const ordered = this.#ordered(server.id);
+    const ahead = ordered.findIndex((waiting) => waiting.request === request);
+    const aheadMs = (Math.max(0, ahead) * MILLISECONDS_IN_SECOND) / limits.rateOf(server.id);
+    return Math.max(limits.waitMs(server.id), aheadMs);
+  }
+
+  #requestPermit({ route }: OpenRequest, { server }: ServerView): void {
+    this.#options.limits.requestPermit(server.id, {
+      priority: route.priority,
+      maxWaitMs: ADVANCE_WAIT_MS,
+    });
+  }
+
+  /** Requests permits for the waiting requests again from time to time, since earlier ones may be denied. */
+  #scheduleRequests(): void {
+    this.#cancelRequests ??= this.#options.clock.schedule(REQUEST_INTERVAL_MS, () => {
+      this.#cancelRequests = undefined;
+      const servers = new Set<string>();
+      this.#waiting.forEach(({ request, views }) => {
+        views.forEach((view) => this.#requestPermit(request, view));
+        views.forEach(({ server }) => servers.add(server.id));
+      });
+      servers.forEach((id) => this.noteAnswer(id));
+      if (this.#waiting.size > 0) this.#scheduleRequests();
+    });
+  }
+}
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -46,6 +46,8 @@
   isAwaitingFirstByte: boolean;
   /** Whether the request waits for the server in `view` to load its adapter. */
   isAwaitingAdapter: boolean;
+  /** Until when the request may wait for a server with a limit; `undefined` while it never has. */
+  permitWaitUntil: Milliseconds | undefined;
   isFinished: boolean;
   timers: Cancellation[];
 };
@@ -62,6 +64,19 @@
 /** Time to the deadline of requests without a deadline header; capped by the route's timeout. */
 const DEFAULT_DEADLINE_MS: Milliseconds = 30_000;
 
+/** Longest wait before a request is sent, as a share of the route's latency objective. */
+const MAX_WAIT_SHARE = 0.9;
+
+/** Longest wait before a request is sent, as a share of the time to its deadline. */
+const MAX_WAIT_SHARE_OF_TIME_LEFT = 0.5;
+
+/** Returns how long a request may wait from now on before it is sent to a server. */
+export function maxWaitBeforeSending(request: OpenRequest, now: Milliseconds): Milliseconds {
+  const { deadlineAt, route } = request;
+  const byDeadlineMs = (deadlineAt - now) * MAX_WAIT_SHARE_OF_TIME_LEFT;
+  return Math.min(byDeadlineMs, route.objectiveMs * MAX_WAIT_SHARE);
+}
+
 /** Returns the state of a request that has just been accepted. */
 export function openRequest(accepted: AcceptedRequest): OpenRequest {
   const { caller, head, route, acceptedAt } = accepted;
@@ -85,6 +100,7 @@
     longestPauseMs: 0,
     isAwaitingFirstByte: false,
     isAwaitingAdapter: false,
+    permitWaitUntil: undefined,
     isFinished: false,
     timers: [],
   };
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -1,9 +1,13 @@
 import * as z from 'zod/mini';
+import type { Milliseconds } from '../../core/clock/mod.ts';
 import { decodeChecked, encodeMessagePack } from '../_decodeChecked.ts';
 
 /** Longest trait; longer values are hashed by their sender. */
 const MAX_TRAIT_LENGTH = 100;
 
+/** Longest wait for a permit that an entry may ask for. */
+const MAX_PERMIT_WAIT_MS: Milliseconds = 60_000;
+
 const recordSchema = z.object({
   key: z.string(),
   // Absent if the record was removed.
@@ -52,6 +56,38 @@
   ),
 });
 
+const limitSchema = z.object({
+  server: z.string(),
+  perSecond: z.number().check(z.positive()),
+  isEnded: z.boolean(),
+  ageMs: ageSchema,
+});
+
+/** A request for a permit to send a server with a limit one request. */
+const permitRequestSchema = z.object({
+  kind: z.literal('permit-request'),
+  // Address of the sender among the entries.
+  from: z.string(),
+  request: z.object({
+    number: countSchema,
+    server: z.string(),
+    priority: z.number(),
+    maxWaitMs: z.number().check(z.nonnegative(), z.maximum(MAX_PERMIT_WAIT_MS)),
+  }),
+  // What the sender knows of the limit, which the receiver may not have heard of.
+  limit: z.optional(limitSchema),
+});
+
+const permitAnswerSchema = z.object({
+  kind: z.literal('permit-answer'),
+  answer: z.object({
+    number: countSchema,
+    server: z.string(),
+    kind: z.enum(['granted', 'queued', 'denied']),
+    waitMs: z.number().check(z.nonnegative()),
+  }),
+});
+
 const digestSchema = z.object({
   kind: z.literal('digest'),
   address: z.string(),
@@ -63,16 +99,23 @@
   asOf: z.record(z.string(), revisionSchema),
   // What the sender learned, since its last digest on this connection, about requests that crash servers.
   quarantine: z.optional(quarantineSchema),
+  // The same about the limits of servers; absent from older builds.
+  limits: z.optional(z.readonly(z.array(limitSchema))),
 });
 
 const peerMessageSchema = z.discriminatedUnion('kind', [
   digestSchema,
   z.object({ kind: z.literal('news'), prefix: z.string(), news: updateSchema }),
+  permitRequestSchema,
+  permitAnswerSchema,
 ]);
 
 /** A gossip message between entries. */
 export type PeerMessage = Readonly<z.infer<typeof peerMessageSchema>>;
 
+/** A request for a permit, as it arrives from another entry. */
+export type PermitRequestMessage = Extract<PeerMessage, { readonly kind: 'permit-request' }>;
+
 /** Encodes a gossip message. */
 export function encodePeerMessage(message: PeerMessage): Uint8Array {
   return encodeMessagePack(message);
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -10,16 +10,20 @@
 import type { Quarantine } from '../../core/quarantine/mod.ts';
 import { selectRoute, selectService } from '../../core/serving/mod.ts';
 import type { Deployment, ModelName, Service } from '../../core/serving/mod.ts';
+import type { Reach } from '../../core/serverLimits/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import { decodeRequestHeaders } from '../../platform/mod.ts';
 import type { Dial } from '../ports/mod.ts';
+import { AdapterVersions } from './_adapterVersions.ts';
+import { AdapterWaits } from './_adapterWaits.ts';
 import { respondLocally } from './_respondLocally.ts';
 import { CrashGuard } from './_crashGuard.ts';
 import { describeArrival, describeChoice, describeEnd } from './_describeRequest.ts';
-import { openRequest } from './_openRequest.ts';
+import { maxWaitBeforeSending, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
 import { clearAwaitingFirstByte, forwardResponse } from './_forwardResponse.ts';
+import { LimitGate } from './_limitGate.ts';
 import { outboundRequest } from './_outboundRequest.ts';
 import { QuarantineGate } from './_quarantineGate.ts';
 import { jitterRetryAfter, retryDelayMs } from './_retryAfter.ts';
@@ -47,15 +51,14 @@
   readonly peerName?: string | undefined;
   /** Returns the names of the other live entries. */
   readonly peerNames: () => readonly string[];
-  /** Called when the other entries should learn of a change of `quarantine`. */
-  readonly onQuarantineChange: () => void;
+  /** Returns how many of the known entries are in touch with this one. */
+  readonly peerReach: () => Reach;
+  /** Called when the other entries should learn of a change of `quarantine` or `limits`. */
+  readonly onSharedChange: () => void;
   /** Returns a random number from 0 to 1; adds jitter to `Retry-After`. */
   readonly random: () => number;
 };
 
-/** Longest wait for an adapter load, as a share of the route's latency objective. */
-const MAX_LOAD_WAIT_SHARE = 0.9;
-
 /** Shortest timeout of an attempt; a healthy server responds within some tens of milliseconds. */
 const MIN_ATTEMPT_TIMEOUT_MS: Milliseconds = 50;
 
@@ -79,12 +82,15 @@
 
   readonly #limits: ServerLimits;
 
+  readonly #limitGate: LimitGate;
+
+  readonly #adapterWaits: AdapterWaits;
+
   readonly #guard: CrashGuard;
 
   readonly #gate: QuarantineGate;
 
-  /** Newest published versions of adapters, by name. */
-  readonly #adapterVersions = new Map<ModelName, number>();
+  readonly #adapterVersions: AdapterVersions;
 
   readonly #openRequests = new Set<OpenRequest>();
 
@@ -96,30 +102,55 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
+    const self = options.peerName ?? options.entryId;
     this.#retryBudgets = new RetryBudgets(options);
     this.#health = new ServerHealth(options.clock);
-    this.#limits = new ServerLimits(options);
+    this.#limits = new ServerLimits({
+      ...options,
+      self,
+      peers: options.peerNames,
+      reach: options.peerReach,
+      onAnswer: ({ server }) => this.#limitGate.noteAnswer(server),
+      onChange: options.onSharedChange,
+    });
+    this.#limitGate = new LimitGate({
+      clock: options.clock,
+      limits: this.#limits,
+      dispatch: (request) => this.#dispatch(request),
+      refuse: (request, retryAfterMs) => this.#refuse(request, 'server-limit', retryAfterMs),
+    });
+    this.#adapterVersions = new AdapterVersions(options.log);
     this.#hold = new StartupHold(options.clock);
     this.#table = new ServerTable({
       ...options,
       engineOf: (service) => this.#deployment?.services.get(service)?.engine,
-      onServerChange: (view) => this.#dispatchAwaiting(view),
+      onServerChange: (view) => this.#adapterWaits.noteServerChange(view, this.#openRequests),
       onServerRemoved: (id) => {
         this.#health.forget(id);
-        this.#limits.registry.forget(id);
+        this.#limits.forget(id);
         this.#guard.forget(id);
       },
     });
     this.#guard = new CrashGuard({
       ...options,
-      self: options.peerName ?? options.entryId,
+      self,
       incarnation: options.entryId,
       peers: options.peerNames,
       openRequests: this.#openRequests,
       hasOpenSince: (server, time) => this.#table.connectionsOf(server).hasOpenSince(time),
       onServerEnd: (id) => this.#health.noteUnreachable(id),
       onQuarantined: (trait) => this.#gate.rejectAll(trait, this.#openRequests),
-      onChange: options.onQuarantineChange,
+      onChange: options.onSharedChange,
+    });
+    this.#adapterWaits = new AdapterWaits({
+      clock: options.clock,
+      minVersionOf: (name) => this.#adapterVersions.minOf(name),
+      isOpen: (view) => this.#limits.isOpen(view.server.id),
+      send: (request, view) => {
+        if (this.#gate.isAdmitted(request)) this.#send(request, view);
+      },
+      dispatch: (request) => this.#dispatch(request),
+      refuse: (request) => this.#refuse(request, 'load-late', retryDelayMs('load-late')),
     });
     this.#gate = new QuarantineGate({
       clock: options.clock,
@@ -136,6 +167,11 @@
     return this.#guard.quarantine;
   }
 
+  /** The limits of servers, kept together with the other entries. */
+  get limits(): ServerLimits {
+    return this.#limits;
+  }
+
   /** The known backend servers. */
   get servers(): ServerTable {
     return this.#table;
@@ -158,16 +194,22 @@
 
   /** Starts to monitor keepers and servers. */
   start(): void {
+    this.#limits.permits.start();
+    this.#scheduleTick();
+  }
+
+  #scheduleTick(): void {
     this.#cancelTick = this.#options.clock.schedule(TICK_INTERVAL_MS, () => {
       this.#table.tick();
       this.quarantine.tick(this.#options.clock.now());
-      this.start();
+      this.#scheduleTick();
     });
   }
 
   /** Closes all connections. */
   close(): void {
     this.#cancelTick?.();
+    this.#limits.permits.close();
     this.#table.close();
   }
 
@@ -197,9 +239,7 @@
 
   /** Records the newest version of an adapter; an older version is ignored. */
   applyRelease(name: ModelName, version: number): void {
-    const known = this.#adapterVersions.get(name) ?? 0;
-    this.#adapterVersions.set(name, Math.max(known, version));
-    if (version > known) this.#options.log('releaseTaken', { adapter: name, version });
+    this.#adapterVersions.apply(name, version);
   }
 
   /** Serves one request. Shortly after the start, holds it until servers are known. */
@@ -266,35 +306,32 @@
     return this.#health.preferHealthy(untried);
   }
 
-  #minVersion(name: ModelName | undefined): number {
-    return name === undefined ? 0 : (this.#adapterVersions.get(name) ?? 0);
-  }
-
   /** Chooses a server and sends the request, waits for an adapter, or refuses. */
   #dispatch(request: OpenRequest): void {
-    const { service, head, route } = request;
+    const { service, head } = request;
     const { engine } = service;
     const modelName = engine === undefined ? undefined : head.modelName;
-    const minVersion = this.#minVersion(modelName);
+    const minVersion = this.#adapterVersions.minOf(modelName);
     const now = this.#options.clock.now();
-    const leftMs = request.deadlineAt - now;
-    if (leftMs <= 0) {
+    if (request.deadlineAt <= now) {
       this.#expire(request);
       return;
     }
     if (!this.#gate.isAdmitted(request)) return;
-    const maxLoadWaitMs = Math.min(leftMs / 2, route.objectiveMs * MAX_LOAD_WAIT_SHARE);
+    const maxWaitMs = maxWaitBeforeSending(request, now);
+    const candidates = this.#candidatesOf(service, request.triedServerIds);
     const choice = chooseServer(
       {
         ...(modelName === undefined ? {} : { modelName }),
         ...(head.promptTokens === undefined ? {} : { promptTokens: head.promptTokens }),
         minVersion,
         batchWidth: engine?.batchWidth ?? 1,
-        maxLoadWaitMs,
+        maxLoadWaitMs: maxWaitMs,
         now,
         availabilityZone: this.#options.availabilityZone,
+        limited: this.#limitGate.limitedServers(request, candidates),
       },
-      this.#candidatesOf(service, request.triedServerIds),
+      candidates,
     );
     this.#options.log('requestPlaced', describeChoice(request, choice, now, this.#deployment));
     if (choice.kind === 'refuse' && this.#hold.isActive && request.triedServerIds.size === 0) {
@@ -303,31 +340,19 @@
       });
     } else if (choice.kind === 'refuse') {
       this.#refuse(request, choice.reason, choice.retryAfterMs);
+    } else if (choice.kind === 'await-permit') {
+      this.#limitGate.hold(request, choice.views, maxWaitMs);
     } else if (choice.kind === 'load') {
-      this.#awaitAdapter(request, choice.view, maxLoadWaitMs);
+      this.#table.requestAdapter(choice.view, modelName ?? '', minVersion, maxWaitMs);
+      this.#adapterWaits.hold(request, choice.view, maxWaitMs);
     } else {
       if (choice.replicaTarget !== undefined && modelName !== undefined) {
-        this.#table.requestAdapter(choice.replicaTarget, modelName, minVersion, maxLoadWaitMs);
+        this.#table.requestAdapter(choice.replicaTarget, modelName, minVersion, maxWaitMs);
       }
       this.#send(request, choice.view);
     }
   }
 
-  #awaitAdapter(request: OpenRequest, view: ServerView, waitMs: Milliseconds): void {
-    const { clock } = this.#options;
-    request.view = view;
-    request.isAwaitingAdapter = true;
-    const name = request.head.modelName ?? '';
-    this.#table.requestAdapter(view, name, this.#minVersion(name), waitMs);
-    request.timers.push(
-      clock.schedule(waitMs, () => {
-        if (request.isAwaitingAdapter && request.view === view) {
-          this.#refuse(request, 'load-late', retryDelayMs('load-late'));
-        }
-      }),
-    );
-  }
-
   #send(request: OpenRequest, view: ServerView): void {
     const { clock } = this.#options;
     const { head, caller } = request;
@@ -345,7 +370,7 @@
     view.awaitingFirstByte += 1;
     this.#table.noteSent(view, head.modelName);
     request.attempt = this.#table.connectionsOf(view.server).send(
-      outboundRequest(request, view, this.#minVersion(head.modelName), now),
+      outboundRequest(request, view, this.#adapterVersions.minOf(head.modelName), now),
       forwardResponse({
         request,
         clock,
@@ -485,6 +510,7 @@
     request.isFinished = true;
     request.timers.forEach((cancel) => cancel());
     this.#openRequests.delete(request);
+    this.#limitGate.forget(request);
     const { view, head, attempt } = request;
     clearAwaitingFirstByte(request);
     if (attempt !== undefined && view !== undefined) {
@@ -503,19 +529,4 @@
     this.#options.metrics.count('requests_total', { end });
     this.#options.log('gatewayRequestEnded', { request: requestId, end, ...fields });
   }
-
-  /** Sends requests whose adapter is now loaded, or dispatches them again if the server can't serve them. */
-  #dispatchAwaiting(view: ServerView): void {
-    for (const request of [...this.#openRequests]) {
-      if (!request.isAwaitingAdapter || request.view !== view) continue;
-      const name = request.head.modelName ?? '';
-      const isHeld = view.holds(name, this.#minVersion(name));
-      if (isHeld && view.isReady) {
-        if (this.#gate.isAdmitted(request)) this.#send(request, view);
-      } else if (view.keeper === undefined || !view.isReady) {
-        request.isAwaitingAdapter = false;
-        this.#dispatch(request);
-      }
-    }
-  }
 }
--- a/tasks/gateway/mod.ts
+++ b/tasks/gateway/mod.ts
@@ -2,7 +2,13 @@
 export { Gateway } from './gateway.ts';
 export type { GatewayOptions } from './gateway.ts';
 export { PeerTask } from './peerTask.ts';
-export type { Mirrors, PeerTaskOptions, SharedQuarantine } from './peerTask.ts';
+export type {
+  Mirrors,
+  PeerTaskOptions,
+  SharedLimits,
+  SharedPermits,
+  SharedQuarantine,
+} from './peerTask.ts';
 export { StoreTask } from './storeTask.ts';
 export type { RecordStore, StoreTaskOptions } from './storeTask.ts';
 export { LoadSheddingTask } from './loadSheddingTask.ts';
--- a/tasks/gateway/peerTask.test.ts
+++ b/tasks/gateway/peerTask.test.ts
@@ -1,55 +1,22 @@
 import { expect } from 'chai';
-import { createVirtualClock } from '../../core/clock/mod.ts';
-import type { VirtualClock } from '../../core/clock/mod.ts';
 import { Quarantine } from '../../core/quarantine/mod.ts';
 import { RecordMirror } from '../../core/mirror/mod.ts';
+import { LimitRegistry } from '../../core/serverLimits/mod.ts';
 import { encodeMessagePack } from '../_decodeChecked.ts';
-import type { Accept, Dial } from '../ports/mod.ts';
 import { PeerTask } from './mod.ts';
+import { FakeNetwork } from './testing/fakeNetwork.ts';
 
-/** A network of processes on a virtual clock; those in `cut` are partitioned from all others. */
-class FakeNetwork {
-  readonly clock: VirtualClock = createVirtualClock();
+type Node = {
+  readonly task: PeerTask;
+  readonly mirror: RecordMirror;
+  readonly limits: LimitRegistry;
+};
 
-  readonly partitioned = new Set<string>();
-
-  readonly #accepts = new Map<string, Accept>();
-
-  listen(address: string, accept: Accept): void {
-    this.#accepts.set(address, accept);
-  }
-
-  dialFrom(own: string): Dial {
-    return (address, events) => {
-      const accept = this.#accepts.get(address);
-      const isPartitioned = (): boolean =>
-        this.partitioned.has(own) || this.partitioned.has(address);
-      const deliver = (run: () => void): void => {
-        this.clock.schedule(1, () => {
-          if (!isPartitioned()) run();
-        });
-      };
-      if (accept === undefined) {
-        this.clock.schedule(1, () => events.closed());
-        return { send: () => undefined, close: () => undefined };
-      }
-      const remote = accept({
-        send: (bytes) => deliver(() => events.received(bytes)),
-        close: () => undefined,
-      });
-      deliver(() => events.opened());
-      return { send: (bytes) => deliver(() => remote.received(bytes)), close: () => undefined };
-    };
-  }
-
-  run(ms: number): void {
-    const end = this.clock.now() + ms;
-    while ((this.clock.nextDue() ?? Infinity) <= end) this.clock.runNext();
-    this.clock.advanceTo(end);
-  }
+function createLimits(): LimitRegistry {
+  return new LimitRegistry({ onLimit: () => undefined, onChange: () => undefined });
 }
 
-type Node = { readonly task: PeerTask; readonly mirror: RecordMirror };
+const NO_PERMITS = { handleRequest: (): void => undefined };
 
 function createQuarantine(self: string): Quarantine {
   return new Quarantine({
@@ -65,6 +32,7 @@
 function startNode(network: FakeNetwork, address: string, seeds: readonly string[]): Node {
   const mirror = new RecordMirror();
   const quarantine = createQuarantine(address);
+  const limits = createLimits();
   const task = new PeerTask({
     address,
     seeds,
@@ -73,12 +41,14 @@
     dial: network.dialFrom(address),
     lagMs: () => address.length,
     quarantine,
+    limits,
+    permits: NO_PERMITS,
     log: () => undefined,
     onUpdate: (_prefix, update) => mirror.apply(update),
   });
   network.listen(address, task.accept);
   task.start();
-  return { task, mirror };
+  return { task, mirror, limits };
 }
 
 describe('PeerTask', () => {
@@ -133,9 +103,37 @@
     expect(nodes[0]!.task.lagsMs).to.deep.equal([2]);
   });
 
+  it('spreads the limits of servers to all entries, also to one that starts later', () => {
+    const network = new FakeNetwork();
+    const nodes = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'].map((name) =>
+      startNode(network, name, ['a']),
+    );
+    network.run(4000);
+    nodes[3]!.limits.noteNamed('i-1', 1.5, network.clock.now(), network.clock.now());
+    nodes[3]!.task.pushChanges();
+    network.run(2000);
+    const late = startNode(network, 'i', ['a']);
+    network.run(1000);
+    [...nodes, late].forEach(({ limits }) => {
+      expect(limits.rateOf('i-1', network.clock.now())).to.equal(1.5);
+    });
+  });
+
+  it('counts the entries in touch, and those that are cut off as known', () => {
+    const network = new FakeNetwork();
+    const nodes = ['a', 'b', 'c', 'd'].map((name) => startNode(network, name, ['a']));
+    network.run(4000);
+    expect(nodes[0]!.task.reach).to.deep.equal({ known: 4, reachable: 4 });
+    network.partitioned.add('c');
+    network.run(6000);
+    expect(nodes[0]!.task.reach).to.deep.equal({ known: 4, reachable: 3 });
+    expect(nodes[2]!.task.reach).to.deep.equal({ known: 4, reachable: 1 });
+  });
+
   function createIsolatedTask(
     quarantine: Quarantine,
     log: (event: string) => void,
+    limits = createLimits(),
   ): (message: unknown) => void {
     const network = new FakeNetwork();
     const task = new PeerTask({
@@ -146,6 +144,8 @@
       dial: network.dialFrom('a'),
       lagMs: () => 0,
       quarantine,
+      limits,
+      permits: NO_PERMITS,
       log,
       onUpdate: () => undefined,
     });
@@ -196,6 +196,44 @@
     });
   });
 
+  const LIMIT = { server: 'i-1', perSecond: 2, isEnded: false, ageMs: 5 };
+
+  it('reads digests with the limits of servers', () => {
+    const limits = createLimits();
+    const events: string[] = [];
+    const receive = createIsolatedTask(
+      createQuarantine('a'),
+      (event) => events.push(event),
+      limits,
+    );
+    receive({ ...DIGEST, limits: [LIMIT] });
+    expect(limits.rateOf('i-1', 0)).to.equal(2);
+    expect(events).to.deep.equal([]);
+  });
+
+  const malformedLimits: Readonly<Record<string, unknown>> = {
+    'no rate': [{ ...LIMIT, perSecond: undefined }],
+    'a rate of zero': [{ ...LIMIT, perSecond: 0 }],
+    'a rate that is no number': [{ ...LIMIT, perSecond: NaN }],
+    'an age in the future': [{ ...LIMIT, ageMs: -1 }],
+    'another type': 7,
+  };
+
+  Object.entries(malformedLimits).forEach(([name, limitsField]) => {
+    it(`logs and ignores a digest whose limits have ${name}`, () => {
+      const limits = createLimits();
+      const events: string[] = [];
+      const receive = createIsolatedTask(
+        createQuarantine('a'),
+        (event) => events.push(event),
+        limits,
+      );
+      receive({ ...DIGEST, limits: limitsField });
+      expect(events).to.deep.equal(['messageUnreadable']);
+      expect(limits.size).to.equal(0);
+    });
+  });
+
   it('logs and ignores invalid messages', () => {
     const network = new FakeNetwork();
     const events: string[] = [];
@@ -207,6 +245,8 @@
       dial: network.dialFrom('a'),
       lagMs: () => 0,
       quarantine: createQuarantine('a'),
+      limits: createLimits(),
+      permits: NO_PERMITS,
       log: (event) => events.push(event),
       onUpdate: () => undefined,
     });
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -2,10 +2,12 @@
 import type { MirrorUpdate, RecordMirror } from '../../core/mirror/mod.ts';
 import { rendezvousOrder } from '../../core/placement/mod.ts';
 import type { Quarantine } from '../../core/quarantine/mod.ts';
+import type { LimitRegistry, Reach } from '../../core/serverLimits/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
 import type { Accept, Dial } from '../ports/mod.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
+import type { PermitTask } from './permitTask.ts';
 
 /** The record mirrors that entries keep in sync, by key prefix. */
 export type Mirrors = ReadonlyMap<string, RecordMirror>;
@@ -13,6 +15,12 @@
 /** The part of a `Quarantine` that entries share. */
 export type SharedQuarantine = Pick<Quarantine, 'change' | 'updateSince' | 'applyUpdate'>;
 
+/** The part of a `LimitRegistry` that entries share. */
+export type SharedLimits = Pick<LimitRegistry, 'change' | 'updateSince' | 'applyUpdate'>;
+
+/** The part of a `PermitTask` that other entries use. */
+export type SharedPermits = Pick<PermitTask, 'handleRequest'>;
+
 /** Options of `PeerTask`. */
 export type PeerTaskOptions = {
   /** Address at which other entries reach this one. */
@@ -27,6 +35,10 @@
   readonly lagMs: () => Milliseconds;
   /** What crashes servers, shared with the other entries. */
   readonly quarantine: SharedQuarantine;
+  /** The limits that servers name, shared with the other entries. */
+  readonly limits: SharedLimits;
+  /** Issues permits to the other entries. */
+  readonly permits: SharedPermits;
   /** Called with an update from an entry whose mirror is newer. */
   readonly onUpdate: (prefix: string, update: MirrorUpdate) => void;
 };
@@ -45,9 +57,17 @@
 /** Age at which a lag reported by another entry expires. */
 const LAG_MAX_AGE_MS: Milliseconds = 2000;
 
+/** Time since an entry was last seen within which it counts as in touch. */
+const REACH_MAX_AGE_MS: Milliseconds = 4000;
+
 /** Time since an entry was last seen after which it is removed from the members. */
 const MEMBER_TIMEOUT_MS: Milliseconds = 20_000;
 
+/** Changes of the shared state that the receiver of a digest knows. */
+type SharedChanges = { readonly quarantine: number; readonly limits: number };
+
+const NO_CHANGES: SharedChanges = { quarantine: 0, limits: 0 };
+
 /**
  * Gossip between entries: spreads membership, event-loop lags and the newest store records.
  *
@@ -73,8 +93,8 @@
 
   #cancelPush: (() => void) | undefined;
 
-  /** Change of the quarantine that was last sent on the link to an address. */
-  readonly #sentChanges = new Map<string, number>();
+  /** Changes of the shared state that were last sent on the link to an address. */
+  readonly #sentChanges = new Map<string, SharedChanges>();
 
   constructor(options: PeerTaskOptions) {
     this.#options = options;
@@ -106,6 +126,14 @@
     return [...this.#lags.values()].map(({ lagMs }) => lagMs);
   }
 
+  /** How many of the known entries are in touch with this one, itself included. */
+  get reach(): Reach {
+    const now = this.#options.clock.now();
+    const lastSeen = [...this.#members.values()];
+    const reachable = lastSeen.filter((at) => now - at <= REACH_MAX_AGE_MS).length;
+    return { known: lastSeen.length + 1, reachable: reachable + 1 };
+  }
+
   /** Largest number of entries ever known, with this one; `undefined` before any other was seen. */
   get maxKnownEntries(): number | undefined {
     return this.#maxKnownEntries;
@@ -113,10 +141,10 @@
 
   /** Accepts links from other entries. */
   readonly accept: Accept = (connection) => {
-    let sentChange = 0;
+    let sent = NO_CHANGES;
     const sendDigest = (): void => {
-      connection.send(this.#digest(sentChange));
-      sentChange = this.#options.quarantine.change;
+      connection.send(this.#digest(sent));
+      sent = this.#changes;
     };
     return {
       opened: () => undefined,
@@ -138,15 +166,17 @@
     this.#cancelDigest = this.#options.clock.schedule(DIGEST_INTERVAL_MS, () => this.start());
   }
 
-  /** Sends changes of the quarantine to the linked entries without waiting for the next digest. */
-  pushQuarantine(): void {
+  /** Sends changes of the shared state to the linked entries without waiting for the next digest. */
+  pushChanges(): void {
     if (this.#cancelPush !== undefined) return;
     this.#cancelPush = this.#options.clock.schedule(PUSH_DELAY_MS, () => {
       this.#cancelPush = undefined;
+      const { quarantine, limits } = this.#changes;
       this.#links.addresses
-        .filter(
-          (address) => (this.#sentChanges.get(address) ?? 0) < this.#options.quarantine.change,
-        )
+        .filter((address) => {
+          const sent = this.#sentChanges.get(address) ?? NO_CHANGES;
+          return sent.quarantine < quarantine || sent.limits < limits;
+        })
         .forEach((address) => this.#sendDigest(address));
     });
   }
@@ -178,13 +208,19 @@
   /** Sends a digest on an own link. */
   #sendDigest(address: string): void {
     if (!this.#links.isOpen(address)) return;
-    this.#links.send(address, this.#digest(this.#sentChanges.get(address) ?? 0));
-    this.#sentChanges.set(address, this.#options.quarantine.change);
+    this.#links.send(address, this.#digest(this.#sentChanges.get(address) ?? NO_CHANGES));
+    this.#sentChanges.set(address, this.#changes);
   }
 
-  /** Encodes a digest, with what changed in the quarantine since a change that the receiver knows. */
-  #digest(knownChange: number): Uint8Array {
-    const { address, mirrors, clock, quarantine } = this.#options;
+  /** Numbers of the latest changes of the shared state. */
+  get #changes(): SharedChanges {
+    const { quarantine, limits } = this.#options;
+    return { quarantine: quarantine.change, limits: limits.change };
+  }
+
+  /** Encodes a digest, with what changed in the shared state since the changes that the receiver knows. */
+  #digest(known: SharedChanges): Uint8Array {
+    const { address, mirrors, clock, quarantine, limits } = this.#options;
     const now = clock.now();
     return encodePeerMessage({
       kind: 'digest',
@@ -194,11 +230,15 @@
         ([member, lastSeenAt]) => [member, now - lastSeenAt] as const,
       ),
       asOf: Object.fromEntries([...mirrors].map(([prefix, mirror]) => [prefix, mirror.asOf])),
-      quarantine: quarantine.updateSince(knownChange, now),
+      quarantine: quarantine.updateSince(known.quarantine, now),
+      limits: limits.updateSince(known.limits, now),
     });
   }
 
-  /** Handles a message; on accepted links the peer expects a digest in reply, sent by `sendDigest`. */
+  /**
+   * Handles a message; on accepted links the peer expects a digest in reply to its own, sent by
+   * `sendDigest`.
+   */
   #receive(bytes: Uint8Array, reply: (bytes: Uint8Array) => void, sendDigest?: () => void): void {
     const message = decodePeerMessage(bytes);
     if (message === undefined) {
@@ -210,6 +250,14 @@
       this.#options.onUpdate(message.prefix, { since, records, asOf });
       return;
     }
+    if (message.kind === 'permit-request') {
+      this.#options.permits.handleRequest(message, reply);
+      return;
+    }
+    if (message.kind === 'permit-answer') {
+      this.#options.log('messageUnreadable', { from: 'an entry', bytes: bytes.length });
+      return;
+    }
     const { address, clock, mirrors } = this.#options;
     const now = clock.now();
     this.#members.set(message.address, now);
@@ -228,6 +276,7 @@
     if (message.quarantine !== undefined) {
       this.#options.quarantine.applyUpdate(message.quarantine, now);
     }
+    if (message.limits !== undefined) this.#options.limits.applyUpdate(message.limits, now);
     sendDigest?.();
   }
 }
