Ask a server again that has not named its limit for some time

What callers saw: a server whose limit has ended is not used while others suit better. Cause: only a response tells that a limit has ended, and a server with a limit gets one only if it is chosen; where others are always cheaper nobody asks. Evidence: the test 'gets its load back once it names none' ran into its timeout of 60 s on; now it passes. Change: after 2 s without a naming, a permit goes to the next request that the server can run.

--- a/core/dispatch/chooseServer.test.ts
+++ b/core/dispatch/chooseServer.test.ts
@@ -216,8 +216,16 @@
   });
 
   describe('for servers that name a limit', () => {
-    function limited(named: readonly string[], permitted: readonly string[] = []): LimitedServers {
-      return { named: new Set(named), permitted: new Set(permitted) };
+    function limited(
+      named: readonly string[],
+      permitted: readonly string[] = [],
+      unconfirmed: readonly string[] = [],
+    ): LimitedServers {
+      return {
+        named: new Set(named),
+        permitted: new Set(permitted),
+        unconfirmed: new Set(unconfirmed),
+      };
     }
 
     const held = { holdings: { 'm/a1': 1 } };
@@ -266,6 +274,15 @@
       expect(chooseServer({ ...request, modelName: 'm/a2' }, servers).kind).to.equal('load');
     });
 
+    it('asks a server again that has not named its limit for some time, within the limit', () => {
+      const busy = view('a', { ...held, running: 30 });
+      const request = { ...REQUEST, limited: limited(['a'], ['a'], ['a']) };
+      expect(chooseServer(request, [busy, view('b', held)])).to.include({ view: busy });
+      const { modelName, ...plain } = request;
+      expect(modelName).to.equal('m/a1');
+      expect(chooseServer(plain, [busy, view('b')])).to.include({ view: busy });
+    });
+
     it('loads no further copy on a server with a limit', () => {
       const busy = view('busy', { ...held, running: 50, pauseMs: 200 });
       const choice = chooseServer({ ...REQUEST, limited: limited(['b'], ['b']) }, [
--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -28,6 +28,8 @@
   readonly named: ReadonlySet<string>;
   /** Those of them that take a request now. */
   readonly permitted: ReadonlySet<string>;
+  /** Those of these that must be asked again, since only a response tells that the limit has ended. */
+  readonly unconfirmed: ReadonlySet<string>;
 };
 
 /** What the choice of a server depends on. */
@@ -111,6 +113,15 @@
   return !isLimited(request, view) || request.limited!.permitted.has(view.server.id);
 }
 
+/** The servers whose limit is to be confirmed, or all if there are none. */
+function preferUnconfirmed(
+  { limited }: ServerChoiceRequest,
+  views: readonly ServerView[],
+): readonly ServerView[] {
+  const unconfirmed = views.filter(({ server }) => limited?.unconfirmed.has(server.id));
+  return unconfirmed.length > 0 ? unconfirmed : views;
+}
+
 /** The mean pause to expect in new streams of a server: at least the usual one, longer under load. */
 function expectedPauseMs(view: ServerView, now: Milliseconds): Milliseconds {
   return Math.max(view.pauseMs(now), view.usualPauseMs);
@@ -315,12 +326,15 @@
       const isSameZone = view.server.availabilityZone === request.availabilityZone;
       return view.firstByteMs * (1 + view.inFlight + (isSameZone ? 0 : CROSS_ZONE_COST));
     };
-    const best = lowestCostView(available, cost);
+    const best = lowestCostView(preferUnconfirmed(request, available), cost);
     return best === undefined
       ? { kind: 'await-permit', views: closed }
       : { kind: 'send', view: best };
   }
-  const holders = available.filter((view) => view.holds(modelName, minVersion));
+  const holders = preferUnconfirmed(
+    request,
+    available.filter((view) => view.holds(modelName, minVersion)),
+  );
   const unlimited = ready.filter((view) => !isLimited(request, view));
   if ((request.promptTokens ?? 0) > LONG_PROMPT_TOKENS) {
     const choice = chooseForLongPrompt(request, unlimited, holders);
--- a/core/serverLimits/limitRegistry.ts
+++ b/core/serverLimits/limitRegistry.ts
@@ -27,6 +27,9 @@
 /** Time after the end of a limit from which on the rate is no longer bounded. */
 const UNBOUNDED_AFTER_MS: Milliseconds = 6000;
 
+/** Time since a server last named its limit after which it should be asked again. */
+const CONFIRM_AFTER_MS: Milliseconds = 2000;
+
 /** Difference of two times within which the processes' clocks do not tell which is later. */
 const CLOCK_TOLERANCE_MS: Milliseconds = 250;
 
@@ -122,6 +125,12 @@
     return perSecond * 2 ** ((sinceMs - HOLD_MS) / DOUBLING_MS);
   }
 
+  /** Whether this process has not heard for some time that a server still names its limit. */
+  isUnconfirmed(server: string, now: Milliseconds): boolean {
+    const known = this.#limits.get(server);
+    return known !== undefined && !known.isEnded && now - known.at > CONFIRM_AFTER_MS;
+  }
+
   /** Returns what is known of one server, for a process that may not know it yet. */
   recordOf(server: string, now: Milliseconds): LimitRecord | undefined {
     const known = this.#limits.get(server);
--- a/programs/serving/serverLimit.test.ts
+++ b/programs/serving/serverLimit.test.ts
@@ -108,4 +108,54 @@
       );
     });
   });
+
+  it('is still limited for an entry that has just started', async () => {
+    fleet.servers.forEach((server) => {
+      server.namedLimit = '0.2';
+    });
+    await fleet.entries[0]!.call({ id: 'first', path: '/look/first' });
+    const entry = await fleet.addEntry();
+    await entry.logged(({ event }) => event === 'serverLimitNamed');
+    const known = fleet.servers.filter(({ arrivals }) => arrivals.length > 0);
+    expect(known).to.have.length(1);
+    const results = await Promise.all(
+      [1, 2, 3, 4, 5].map((number) => entry.call({ id: `l${number}`, path: `/look/${number}` })),
+    );
+    expect(results.map(({ status }) => status)).to.deep.equal([200, 200, 200, 200, 200]);
+    expect(known[0]!.arrivals).to.have.length(1);
+  });
+
+  it('gets its load back once it names none', async () => {
+    const [server] = fleet.servers;
+    server!.namedLimit = '4';
+    const [entry] = fleet.entries;
+    while (server!.arrivals.length === 0) {
+      await entry!.call({ id: `a${Math.random()}`, path: '/look/a' });
+    }
+    await entry!.logged(({ event }) => event === 'serverLimitNamed');
+    server!.namedLimit = undefined;
+    const isEnded = entry!.logged(({ event }) => event === 'serverLimitEnded').then(() => true);
+    for (let number = 0; !(await Promise.race([isEnded, sleep(20, false)])); number += 1) {
+      await entry!.call({ id: `b${number}`, path: '/look/b' });
+    }
+  });
+
+  it('keeps its last limit and its answer when a value is none', async () => {
+    const [server] = fleet.servers;
+    const [entry] = fleet.entries;
+    server!.namedLimit = '0.2';
+    while (server!.arrivals.length === 0) {
+      await entry!.call({ id: `a${Math.random()}`, path: '/look/a' });
+    }
+    await entry!.logged(({ event }) => event === 'serverLimitNamed');
+    fleet.servers.forEach((each) => {
+      each.namedLimit = 'plenty';
+    });
+    const result = await entry!.call({ id: 'b', path: '/look/b' });
+    expect(result).to.include({ status: 200, body: 'whole' });
+    expect(result.headers['server-limit']).to.equal('plenty');
+    const { fields } = await entry!.logged(({ event }) => event === 'serverLimitInvalid');
+    expect(fields.value).to.equal('plenty');
+    expect(server!.arrivals).to.have.length(1);
+  });
 });
--- a/tasks/gateway/_limitGate.ts
+++ b/tasks/gateway/_limitGate.ts
@@ -6,7 +6,10 @@
 /** Options of `LimitGate`. */
 export type LimitGateOptions = {
   readonly clock: Clock;
-  readonly limits: ServerLimits;
+  readonly limits: Pick<
+    ServerLimits,
+    'isLimited' | 'isUnconfirmed' | 'isOpen' | 'rateOf' | 'waitMs' | 'requestPermit'
+  >;
   /** Chooses a server for a request and sends it. */
   readonly dispatch: (request: OpenRequest) => void;
   /** Refuses a request that no server takes in time. */
@@ -54,10 +57,13 @@
     limited
       .filter((view) => view.isReady && (isPlain || view.holds(modelName, 0)))
       .forEach((view) => this.#requestPermit(request, view));
-    const permitted = limited.filter(({ server }) => limits.isOpen(server.id));
+    const named = limited.map(({ server }) => server.id);
+    const permitted = named.filter((id) => limits.isOpen(id));
+    const unconfirmed = permitted.filter((id) => limits.isUnconfirmed(id));
     return {
-      named: new Set(limited.map(({ server }) => server.id)),
-      permitted: new Set(permitted.map(({ server }) => server.id)),
+      named: new Set(named),
+      permitted: new Set(permitted),
+      unconfirmed: new Set(unconfirmed),
     };
   }
 
--- a/tasks/gateway/_serverLimits.ts
+++ b/tasks/gateway/_serverLimits.ts
@@ -57,6 +57,11 @@
     return !this.isLimited(serverId) || this.permits.has(serverId);
   }
 
+  /** Whether it is not known for certain that a server still names its limit. */
+  isUnconfirmed(serverId: string): boolean {
+    return this.registry.isUnconfirmed(serverId, this.#options.clock.now());
+  }
+
   /** Requests a second that a server takes now; infinite without a limit. */
   rateOf(serverId: string): number {
     return this.registry.rateOf(serverId, this.#options.clock.now()) ?? Infinity;
