Name the digest of each lost request in the log of a server's end

It now ends each lost request with a digest of its method, host, path, credentials and body. The test of the format names it.

--- a/core/quarantine/mod.ts
+++ b/core/quarantine/mod.ts
@@ -9,3 +9,5 @@
 } from './quarantineUpdate.ts';
 export { traitsOf } from './traits.ts';
 export type { RequestFeatures, Trait } from './traits.ts';
+export { requestTrait } from './requestTrait.ts';
+export type { RequestIdentity } from './requestTrait.ts';
--- a/programs/serving/serverEnd.test.ts
+++ b/programs/serving/serverEnd.test.ts
@@ -26,7 +26,9 @@
     await entry!.call({ id: 'first', path: '/book/1', headers });
     const { fields } = await entry!.logged(({ event }) => event === 'serverEnded');
     expect(fields).to.include({ server: 'i-app-0', service: 'app', requests: 1 });
-    expect(fields.lost).to.match(/^first,r2,-,aa\+bad0\+own,sent=\d+,writing=no$/);
+    expect(fields.lost).to.match(
+      /^first,r2,-,aa\+bad0\+own,sent=\d+,writing=no,request:[\w-]{22}$/,
+    );
   });
 
   it('closes one connection of several is not logged as having ended', async () => {
--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -76,18 +76,20 @@
     adapter: head.modelName,
     promptParts: head.promptParts,
     traits,
+    requestTrait: request.requestTrait(),
     sentMs: now - sentAt,
     writingMs: writingSince === undefined ? undefined : now - writingSince,
   };
 }
 
-/** Describes a lost request in one word: `ID,ROUTE,ADAPTER,PARTS,sent=MS,writing=MS`. */
+/** Describes a lost request in one word: `ID,ROUTE,ADAPTER,PARTS,sent=MS,writing=MS,request:DIGEST`. */
 function formatLost(lost: LostRequest): string {
   const parts = lost.promptParts.join('+');
   const sent = `sent=${Math.round(lost.sentMs)}`;
   const writing =
     lost.writingMs === undefined ? 'writing=no' : `writing=${Math.round(lost.writingMs)}`;
-  return [lost.requestId, lost.route, lost.adapter ?? '-', parts, sent, writing].join(',');
+  const { requestId, route, adapter = '-', requestTrait } = lost;
+  return [requestId, route, adapter, parts, sent, writing, requestTrait].join(',');
 }
 
 /** Returns the log fields of a server's end: when it was and what ran there. */
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -2,7 +2,7 @@
 import type { Cancellation, Milliseconds } from '../../core/clock/mod.ts';
 import type { ServerView } from '../../core/dispatch/mod.ts';
 import { ResumableEventBuffer } from '../../core/streams/mod.ts';
-import { traitsOf } from '../../core/quarantine/mod.ts';
+import { requestTrait, traitsOf } from '../../core/quarantine/mod.ts';
 import type { Trait } from '../../core/quarantine/mod.ts';
 import type { Route, Service } from '../../core/serving/mod.ts';
 import type { RequestHeaders } from '../../platform/mod.ts';
@@ -18,6 +18,8 @@
   readonly deadlineAt: Milliseconds;
   /** What it may share with requests that crash servers. */
   readonly traits: readonly Trait[];
+  /** Returns what it shares only with the same request that comes again; computed when first needed. */
+  readonly requestTrait: () => Trait;
   /** Splits a resumable stream into events, so that another server can continue it. */
   readonly eventBuffer: ResumableEventBuffer | undefined;
   /** Ids of the servers that failed or refused this request. */
@@ -64,6 +66,15 @@
 /** Time to the deadline of requests without a deadline header; capped by the route's timeout. */
 const DEFAULT_DEADLINE_MS: Milliseconds = 30_000;
 
+/** Returns a function that computes its value when it is first called. */
+function once<Value>(compute: () => Value): () => Value {
+  let computed: { readonly value: Value } | undefined;
+  return () => {
+    computed ??= { value: compute() };
+    return computed.value;
+  };
+}
+
 /** Longest wait before a request is sent, as a share of the route's latency objective. */
 const MAX_WAIT_SHARE = 0.9;
 
@@ -85,6 +96,7 @@
     ...accepted,
     deadlineAt: acceptedAt + timeoutMs - RESPONSE_MARGIN_MS,
     traits: traitsOf({ ...head, path: caller.path }),
+    requestTrait: once(() => requestTrait({ ...head, ...caller })),
     eventBuffer: route.repeatability === 'resumable' ? new ResumableEventBuffer() : undefined,
     triedServerIds: new Set(),
     mayHaveRunCount: 0,
--- a/tasks/gateway/_serverEnds.ts
+++ b/tasks/gateway/_serverEnds.ts
@@ -10,6 +10,8 @@
   /** Ids of the parts of its prompt. */
   readonly promptParts: readonly string[];
   readonly traits: readonly Trait[];
+  /** What it shares only with the same request that comes again. */
+  readonly requestTrait: Trait;
   /** Time since the request was sent. */
   readonly sentMs: Milliseconds;
   /** Time since the first byte of the response body; `undefined` if there was none. */
