Quarantine a request that comes again and crashes each server that runs it

What callers saw: one request with the path, caller and body that had crashed three servers was sent to servers again and again, and sound requests failed with each crash. Cause: the quarantine compared what requests share, not the request itself; what it shared was cleared by the responses to sound ones. A service whose servers were all down gave no verdict before the fifth end, since nothing else was answered. Class: a shared cause that is looked for among too few features. Change: each request has a trait of its own, judged by the same class with a policy of its own: three ends, simultaneous ones counted, no other responses needed, two tests at most. Its evidence is kept and passed on apart from that of shared traits.

--- a/core/quarantine/crashSimulation.test.ts
+++ b/core/quarantine/crashSimulation.test.ts
@@ -56,3 +56,29 @@
     });
   });
 });
+
+describe('Quarantine, in a fleet whose servers crash on one request that comes again', () => {
+  const cases: Readonly<Record<string, Partial<CrashSimulationOptions>>> = {
+    ...CASES,
+    'three servers': { servers: 3 },
+    'a long time': { servers: 3, crashingRate: 2, durationMs: 500_000, soundRate: 5 },
+  };
+
+  Object.entries(cases).forEach(([name, options]) => {
+    describe(`with ${name}`, () => {
+      SEEDS.forEach((seed) => {
+        it(`lets it through at most three times after three crashes, and the others run (seed ${seed})`, () => {
+          const all: CrashSimulationOptions = { ...DEFAULTS, ...options, seed, cause: 'request' };
+          const { arrivals, crashes, soundShare } = simulateCrashes(all);
+          const third = crashes[2];
+          const late = arrivals.filter((at) => third !== undefined && at > third + LEARNING_MS);
+          expect(late).to.have.length.at.most(MAX_ARRIVALS);
+          const settledAt = (third ?? crashes.at(-1) ?? 0) + 2 * LEARNING_MS;
+          const shareBefore = soundShare(0, 5000);
+          const shareAfter = soundShare(settledAt, Infinity);
+          expect(shareAfter).to.be.at.least(shareBefore * MIN_SOUND_SHARE_RATIO);
+        });
+      });
+    });
+  });
+});
--- a/core/quarantine/mod.ts
+++ b/core/quarantine/mod.ts
@@ -1,6 +1,8 @@
 /** Detection and quarantine of requests that crash servers. @module */
 export { Quarantine } from './quarantine.ts';
 export type { Admission, ObservedEnd, QuarantineOptions, Verdict } from './quarantine.ts';
+export { REQUEST_POLICY, SHARED_TRAIT_POLICY } from './quarantinePolicy.ts';
+export type { QuarantinePolicy } from './quarantinePolicy.ts';
 export type {
   ClearanceRecord,
   EndRecord,
--- a/core/quarantine/quarantine.test.ts
+++ b/core/quarantine/quarantine.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { Quarantine, traitsOf } from './mod.ts';
+import { Quarantine, REQUEST_POLICY, traitsOf } from './mod.ts';
 import type { Trait } from './mod.ts';
 
 const SERVICE = 's';
@@ -205,3 +205,75 @@
     expect(quarantine.suspectCount).to.equal(0);
   });
 });
+
+describe('Quarantine, of single requests', () => {
+  const CRASHING = 'request:bad';
+
+  const BYSTANDER = 'request:other';
+
+  function createRequestQuarantine(self = 'a', peers: readonly string[] = []): Quarantine {
+    return new Quarantine({
+      self,
+      incarnation: self,
+      peers: () => peers,
+      policy: REQUEST_POLICY,
+      onQuarantined: () => undefined,
+      onReleased: () => undefined,
+      onChange: () => undefined,
+    });
+  }
+
+  /** Records ends of different servers 50 ms apart, as when all servers of a service end under one request. */
+  function noteSeries(quarantine: Quarantine, ends: readonly (readonly Trait[])[]): void {
+    ends.forEach((traits, index) => {
+      const end = { server: `server-${index}`, service: SERVICE, at: index * 50, traits };
+      quarantine.noteEnd(end);
+    });
+    quarantine.tick(ends.length * 50 + 200);
+  }
+
+  it('rejects a request after three ends in a row, though nothing else was answered', () => {
+    const quarantine = createRequestQuarantine();
+    noteSeries(quarantine, [[CRASHING], [CRASHING]]);
+    expect(quarantine.quarantined).to.deep.equal([]);
+    noteSeries(quarantine, [[CRASHING], [CRASHING], [CRASHING]]);
+    expect(quarantine.quarantined).to.deep.equal([CRASHING]);
+    expect(quarantine.admit([CRASHING], never, 1000).kind).to.equal('reject');
+  });
+
+  it('runs a request one at a time and does not repeat it from the second end on', () => {
+    const quarantine = createRequestQuarantine();
+    noteSeries(quarantine, [[CRASHING]]);
+    expect(quarantine.isIsolated(CRASHING)).to.equal(false);
+    noteSeries(quarantine, [[CRASHING], [CRASHING]]);
+    expect(quarantine.isIsolated(CRASHING)).to.equal(true);
+    expect(quarantine.admit([CRASHING], () => true, 1000).kind).to.equal('wait');
+  });
+
+  it('accuses the request at the most ends, not one that ran beside it', () => {
+    const quarantine = createRequestQuarantine();
+    const both = [CRASHING, BYSTANDER];
+    noteSeries(quarantine, [both, both, both, [CRASHING]]);
+    expect(quarantine.quarantined).to.deep.equal([CRASHING]);
+    expect(quarantine.suspectCount).to.equal(0);
+  });
+
+  it('tests a verdict twice in all, whatever the entry', () => {
+    const [a, b] = [createRequestQuarantine('a', ['b']), createRequestQuarantine('b', ['a'])];
+    noteSeries(a, [[CRASHING], [CRASHING], [CRASHING]]);
+    b.applyUpdate(a.updateSince(0, 400)!, 400);
+    const trialsOf = (own: Quarantine, other: Quarantine, now: number): number => {
+      own.noteArrival([CRASHING], now);
+      if (own.admit([CRASHING], never, now).kind !== 'trial') return 0;
+      own.noteTrial([CRASHING], now);
+      own.noteEnd({ server: `t${now}`, service: SERVICE, at: now + 50, traits: [CRASHING] });
+      other.applyUpdate(own.updateSince(0, now + 60)!, now + 60);
+      return 1;
+    };
+    let trials = 0;
+    for (let now = 1000; now < 3_600_000; now += 1000) {
+      trials += trialsOf(a, b, now) + trialsOf(b, a, now);
+    }
+    expect(trials).to.equal(2);
+  });
+});
--- a/core/quarantine/quarantine.ts
+++ b/core/quarantine/quarantine.ts
@@ -1,5 +1,7 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import { rendezvousOrder } from '../placement/mod.ts';
+import { SHARED_TRAIT_POLICY } from './quarantinePolicy.ts';
+import type { QuarantinePolicy } from './quarantinePolicy.ts';
 import type {
   ClearanceRecord,
   EndRecord,
@@ -44,6 +46,8 @@
   readonly incarnation: string;
   /** Returns the names of the other live processes. */
   readonly peers: () => readonly string[];
+  /** @default `SHARED_TRAIT_POLICY` */
+  readonly policy?: QuarantinePolicy;
   /** Called when a trait is quarantined, here or at another process. */
   readonly onQuarantined: (verdict: Verdict, source: 'own' | 'peer') => void;
   /** Called when a quarantined trait is cleared. */
@@ -52,24 +56,12 @@
   readonly onChange: () => void;
 };
 
-/** Ends after which a trait is quarantined, if the service responds to requests without it meanwhile. */
-const ENDS_TO_QUARANTINE = 3;
-
-/** Ends after which a trait is quarantined even if nothing else was answered, or others have as many. */
-const ENDS_BEYOND_DOUBT = 5;
-
-/** The same, if many of the ends were simultaneous. */
-const SERVERS_BEYOND_DOUBT = 8;
-
 /** Time in which the other processes' reports of an end arrive. */
 const REPORTING_MS: Milliseconds = 150;
 
 /** Responses to other requests that show that the service itself is sound. */
 const CONTROL_RESPONSES = 3;
 
-/** Ends from which on only one request with the trait is in flight at a time. */
-const ENDS_TO_ISOLATE = 2;
-
 /** Time from a verdict to the first request that tests it; each further one takes longer by the factor. */
 const FIRST_TRIAL_DELAY_MS: Milliseconds = 60_000;
 
@@ -78,11 +70,6 @@
 /** Time from a doubtful verdict to the first such request. */
 const DOUBTFUL_TRIAL_DELAY_MS: Milliseconds = 2000;
 
-/** Ends from which on the number of further trials is limited. */
-const MANY_ENDS = 5;
-
-const MAX_TRIALS_AFTER_MANY_ENDS = 2;
-
 /** Time after which ends without a verdict are forgotten. */
 const EVIDENCE_MAX_AGE_MS: Milliseconds = 600_000;
 
@@ -132,6 +119,8 @@
 export class Quarantine {
   readonly #options: QuarantineOptions;
 
+  readonly #policy: QuarantinePolicy;
+
   /** Reports of ends, by id. */
   readonly #ends = new Map<string, KnownEnd>();
 
@@ -151,6 +140,7 @@
 
   constructor(options: QuarantineOptions) {
     this.#options = options;
+    this.#policy = options.policy ?? SHARED_TRAIT_POLICY;
   }
 
   /** Number of the latest change; see `updateSince`. */
@@ -163,6 +153,11 @@
     return this.#verdicts.has(trait);
   }
 
+  /** Whether nothing is suspect or quarantined. */
+  get isEmpty(): boolean {
+    return this.#suspects.size === 0 && this.#verdicts.size === 0;
+  }
+
   /** Traits that are quarantined. */
   get quarantined(): readonly Trait[] {
     return [...this.#verdicts.keys()];
@@ -183,7 +178,7 @@
       const suspect = this.#suspects.get(trait);
       if (suspect !== undefined) suspect.isLocal = true;
     });
-    this.#countEnd(end);
+    this.#addToVerdicts(end);
     this.#judge(end.at);
   }
 
@@ -231,11 +226,10 @@
   /** Whether a trait is suspect enough that its requests run one at a time and are not repeated. */
   isIsolated(trait: Trait): boolean {
     const suspect = this.#suspects.get(trait);
-    return (
-      suspect !== undefined &&
-      suspect.countEnds(Infinity).separate >= ENDS_TO_ISOLATE &&
-      this.#hasControl(suspect)
-    );
+    if (suspect === undefined) return false;
+    const { endsToIsolate, needsControlToIsolate } = this.#policy;
+    const { counted } = this.#countEnds(suspect, Infinity);
+    return counted >= endsToIsolate && (!needsControlToIsolate || this.#hasControl(suspect));
   }
 
   /** Records that a request is sent to test the verdicts on its traits. */
@@ -313,7 +307,8 @@
 
   #isTrialDue(trait: Trait, quarantinedCount: number, now: Milliseconds): boolean {
     const { endCount, trialCount, isDoubtful, changedAt } = this.#verdicts.get(trait)!;
-    if (endCount >= MANY_ENDS && trialCount >= MAX_TRIALS_AFTER_MANY_ENDS) return false;
+    const { manyEnds, maxTrials } = this.#policy;
+    if (endCount >= manyEnds && trialCount >= maxTrials) return false;
     // While several verdicts are in doubt, a trial should test one of them only.
     const isEarly = isDoubtful && trialCount === 0 && quarantinedCount === 1;
     const laterTrials = Math.max(0, trialCount - (isDoubtful ? 1 : 0));
@@ -370,7 +365,7 @@
   }
 
   /** Counts an end that this process has seen for the verdicts that explain it. */
-  #countEnd({ traits, at }: ObservedEnd): void {
+  #addToVerdicts({ traits, at }: ObservedEnd): void {
     traits.forEach((trait) => {
       const verdict = this.#verdicts.get(trait);
       if (verdict === undefined) return;
@@ -423,23 +418,32 @@
    * doubt that one of them is guilty, returns all that explain as many.
    */
   #findGuilty(now: Milliseconds): readonly Suspect[] {
+    const { endsToQuarantine, endsBeyondDoubt, serversBeyondDoubt } = this.#policy;
     const ranked = [...this.#suspects.values()]
-      .filter(({ reportCount }) => reportCount >= ENDS_TO_QUARANTINE)
-      .map((suspect) => ({ suspect, ...suspect.countEnds(now - REPORTING_MS) }))
-      .filter(({ separate }) => separate >= ENDS_TO_QUARANTINE)
-      .sort((a, b) => b.separate - a.separate || b.servers - a.servers);
+      .filter(({ reportCount }) => reportCount >= endsToQuarantine)
+      .map((suspect) => ({ suspect, ...this.#countEnds(suspect, now - REPORTING_MS) }))
+      .filter(({ counted }) => counted >= endsToQuarantine)
+      .sort((a, b) => b.counted - a.counted || b.servers - a.servers);
     const [first] = ranked;
     if (first === undefined) return [];
     const equals = ranked.filter(
-      ({ separate, servers }) => separate === first.separate && servers === first.servers,
+      ({ counted, servers }) => counted === first.counted && servers === first.servers,
     );
     const suspects = equals.map(({ suspect }) => suspect);
-    const isBeyondDoubt =
-      first.separate >= ENDS_BEYOND_DOUBT || first.servers >= SERVERS_BEYOND_DOUBT;
+    const isBeyondDoubt = first.counted >= endsBeyondDoubt || first.servers >= serversBeyondDoubt;
     const isClear = suspects.length === 1 && this.#hasControl(first.suspect);
     return suspects.some(({ isLocal }) => isLocal) && (isBeyondDoubt || isClear) ? suspects : [];
   }
 
+  /** Counts a suspect's ends until a point in time, those that the policy counts and all. */
+  #countEnds(
+    suspect: Suspect,
+    until: Milliseconds,
+  ): { readonly counted: number; readonly servers: number } {
+    const { separate, servers } = suspect.countEnds(until);
+    return { counted: this.#policy.countsSimultaneousEnds ? servers : separate, servers };
+  }
+
   #quarantine(suspect: Suspect, isDoubtful: boolean, now: Milliseconds): void {
     const { trait, reportCount, lastEndAt } = suspect;
     const verdict: Verdict = {
--- a/core/quarantine/testing/crashSimulation.ts
+++ b/core/quarantine/testing/crashSimulation.ts
@@ -2,17 +2,22 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { createVirtualClock } from '../../clock/mod.ts';
 import type { Milliseconds } from '../../clock/mod.ts';
-import { Quarantine, traitsOf } from '../mod.ts';
-import type { Trait } from '../mod.ts';
+import { Quarantine, REQUEST_POLICY, SHARED_TRAIT_POLICY, traitsOf } from '../mod.ts';
+import type { QuarantinePolicy, Trait } from '../mod.ts';
+
+/** What the crashing requests have in common. */
+export type CrashCause = 'part' | 'request';
 
 /** Options of `simulateCrashes`. */
 export type CrashSimulationOptions = {
   readonly seed: number;
+  /** Whether requests that share a prompt part crash servers, or one request that comes again. @default 'part' */
+  readonly cause?: CrashCause;
   readonly entries: number;
   readonly servers: number;
   /** Sound requests a second. */
   readonly soundRate: number;
-  /** Requests with the crashing part a second. */
+  /** Crashing requests a second. */
   readonly crashingRate: number;
   /** Whether requests that a server's end has cut off are sent once more. */
   readonly isRepeatable: boolean;
@@ -32,7 +37,7 @@
 
 /** What a simulation has shown. */
 export type CrashSimulationResult = {
-  /** Times at which requests with the crashing part reached servers. */
+  /** Times at which crashing requests reached servers. */
   readonly arrivals: readonly Milliseconds[];
   /** Times of the ends that they caused. */
   readonly crashes: readonly Milliseconds[];
@@ -81,11 +86,42 @@
 
 const MAX_ATTEMPTS = 2;
 
+/** Different sound requests when one request crashes servers; each comes again as well. */
+const SOUND_REQUESTS = 60;
+
+/** The part of a simulation that depends on the cause of the crashes. */
+type CauseModel = {
+  readonly policy: QuarantinePolicy;
+  readonly crashingTrait: Trait;
+  /** Returns the traits of a new request. */
+  readonly traits: (crashing: boolean, random: () => number) => readonly Trait[];
+};
+
+const CAUSES: Readonly<Record<CrashCause, CauseModel>> = {
+  part: {
+    policy: SHARED_TRAIT_POLICY,
+    crashingTrait: `part:${CRASHING_PART}`,
+    traits: (crashing, random) => {
+      const middle = Math.floor(MIDDLE_PARTS ** random());
+      const own = `own${random()}`;
+      const parts = [SHARED_PART, `b${middle}`, ...(crashing ? [CRASHING_PART] : []), own];
+      return traitsOf({ promptParts: parts, path: `/${own}` });
+    },
+  },
+  request: {
+    policy: REQUEST_POLICY,
+    crashingTrait: 'request:bad',
+    traits: (crashing, random) => [
+      crashing ? 'request:bad' : `request:${Math.floor(SOUND_REQUESTS ** random())}`,
+    ],
+  },
+};
+
 /* eslint-disable @typescript-eslint/no-use-before-define -- The steps of a request call each other. */
 
 /**
- * Simulates entries that gossip, and servers that end when they begin to answer a request with the
- * crashing part, on a virtual clock.
+ * Simulates entries that gossip, and servers that end when they begin to answer a crashing request, on a
+ * virtual clock.
  */
 export function simulateCrashes(options: CrashSimulationOptions): CrashSimulationResult {
   const {
@@ -95,6 +131,7 @@
     crashingFrom = 5000,
     durationMs = 40_000,
   } = options;
+  const cause = CAUSES[options.cause ?? 'part'];
   const clock = createVirtualClock();
   const generator = xoroshiro128plus(options.seed);
   const random = (): number => uniformFloat64(generator);
@@ -146,8 +183,9 @@
       self: `entry-${entry}`,
       incarnation: `entry-${entry}/${clock.now()}`,
       peers: () => names.filter((_, other) => other !== entry),
+      policy: cause.policy,
       onQuarantined: ({ trait }) => {
-        if (trait !== `part:${CRASHING_PART}`) wrongVerdicts.push(trait);
+        if (trait !== cause.crashingTrait) wrongVerdicts.push(trait);
       },
       onReleased: () => undefined,
       onChange: () => push(entry),
@@ -246,12 +284,9 @@
 
   function arrive(crashing: boolean): void {
     const entry = pick(options.entries);
-    const middle = Math.floor(MIDDLE_PARTS ** random());
-    const own = `own${random()}`;
-    const parts = [SHARED_PART, `b${middle}`, ...(crashing ? [CRASHING_PART] : []), own];
     const request: SimulatedRequest = {
       entry,
-      traits: traitsOf({ promptParts: parts, path: `/${own}` }),
+      traits: cause.traits(crashing, random),
       crashes: crashing,
       sentAt: clock.now(),
       attempts: 0,
@@ -310,7 +345,7 @@
     wrongVerdicts,
     wrongAtEnd: quarantines
       .flatMap(({ quarantined }) => quarantined)
-      .filter((trait) => trait !== `part:${CRASHING_PART}`),
+      .filter((trait) => trait !== cause.crashingTrait),
     soundShare: (from, until) => {
       const counted = sound.filter(({ at }) => at >= from && at < until);
       if (counted.length === 0) return 1;
--- a/programs/serving/_startPeers.ts
+++ b/programs/serving/_startPeers.ts
@@ -35,6 +35,7 @@
   readonly log: Log;
   readonly mirrors: Mirrors;
   readonly quarantine: SharedQuarantine;
+  readonly requestQuarantine: SharedQuarantine;
   readonly limits: SharedLimits;
   readonly permits: SharedPermits;
   /** Returns the mean event-loop lag of this process. */
@@ -56,21 +57,15 @@
 
 /** Starts gossip with the other entries; returns `NO_PEERS` on a host without a gossip address. */
 export async function startPeers(options: StartPeersOptions): Promise<Peers> {
-  const { settings, log, mirrors, quarantine, limits, permits, lagMs, onUpdate } = options;
+  const { settings, ...shared } = options;
   const { peerAddress, seeds } = settings;
   if (peerAddress === undefined) return NO_PEERS;
   const peers = new PeerTask({
+    ...shared,
     address: peerAddress,
     seeds,
-    mirrors,
-    quarantine,
-    limits,
-    permits,
     clock: realClock,
     dial: dialWebSocket,
-    log,
-    lagMs,
-    onUpdate,
   });
   const listener = await listenWebSocket(splitAddress(peerAddress), peers.accept);
   peers.start();
--- a/tasks/gateway/_crashGuard.ts
+++ b/tasks/gateway/_crashGuard.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
-import { Quarantine } from '../../core/quarantine/mod.ts';
-import type { Admission, Trait } from '../../core/quarantine/mod.ts';
+import { Quarantine, REQUEST_POLICY } from '../../core/quarantine/mod.ts';
+import type { Admission, QuarantinePolicy, Trait } from '../../core/quarantine/mod.ts';
 import type { BackendServer } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
@@ -34,17 +34,28 @@
 /** Time of writing from which on a request is not suspected of the end of its server. */
 const SUSPECT_WRITING_MS: Milliseconds = 1000;
 
-/** The traits of the requests that may have caused a server's end: those that had not been writing for long. */
-function suspectTraits(requests: readonly LostRequest[]): readonly Trait[] {
+/** The requests that may have caused a server's end: those that had not been writing for long. */
+function suspectsOf(requests: readonly LostRequest[]): readonly LostRequest[] {
   const recent = requests.filter(({ writingMs }) => (writingMs ?? 0) <= SUSPECT_WRITING_MS);
-  const suspects = recent.length > 0 ? recent : requests;
-  return [...new Set(suspects.flatMap(({ traits }) => traits))];
+  return recent.length > 0 ? recent : requests;
+}
+
+/** The kinds of admission, the one that binds most first. */
+const STRICTEST_FIRST: readonly Admission['kind'][] = ['reject', 'wait', 'trial', 'send'];
+
+function stricter(first: Admission, second: Admission): Admission {
+  const rank = ({ kind }: Admission): number => STRICTEST_FIRST.indexOf(kind);
+  return rank(first) <= rank(second) ? first : second;
 }
 
 /** Observes the ends of servers for one entry, and keeps the requests that cause them from further servers. */
 export class CrashGuard {
+  /** Parts of prompts, adapters and paths that crash servers. */
   readonly quarantine: Quarantine;
 
+  /** Single requests that crash servers each time they come. */
+  readonly requests: Quarantine;
+
   readonly #options: CrashGuardOptions;
 
   readonly #serverEnds: ServerEnds;
@@ -53,57 +64,81 @@
   readonly #endTimes = new Map<string, Milliseconds>();
 
   constructor(options: CrashGuardOptions) {
-    const { log, metrics } = options;
+    const { metrics } = options;
     this.#options = options;
     this.#serverEnds = new ServerEnds({
       clock: options.clock,
       hasOpenSince: options.hasOpenSince,
       onEnd: (end) => this.#handleEnd(end),
     });
-    this.quarantine = new Quarantine({
-      self: options.self,
-      incarnation: options.incarnation,
-      peers: options.peers,
-      onQuarantined: ({ trait, endCount, trialCount: trials, isDoubtful }, source) => {
-        log('traitQuarantined', { trait, source, ends: endCount, trials, isDoubtful });
-        options.onQuarantined(trait);
-      },
-      onReleased: (trait) => log('traitReleased', { trait }),
-      onChange: options.onChange,
-    });
+    this.quarantine = this.#createQuarantine();
+    this.requests = this.#createQuarantine(REQUEST_POLICY);
     metrics.gauge('quarantined_traits', () => this.quarantine.quarantined.length);
     metrics.gauge('suspect_traits', () => this.quarantine.suspectCount);
+    metrics.gauge('quarantined_requests', () => this.requests.quarantined.length);
+    metrics.gauge('suspect_requests', () => this.requests.suspectCount);
+  }
+
+  /** Judges what is suspect. Call it several times a second. */
+  tick(): void {
+    const now = this.#options.clock.now();
+    this.quarantine.tick(now);
+    this.requests.tick(now);
   }
 
   /** Decides whether a request may be sent to a server now. */
   admit(request: OpenRequest): Admission {
-    const isInFlight = (trait: Trait): boolean =>
+    const now = this.#options.clock.now();
+    const isRunningWith = (hasTrait: (other: OpenRequest) => boolean): boolean =>
       [...this.#options.openRequests].some(
         (other) =>
           other !== request &&
           other.attempt !== undefined &&
           !other.isProvenSound &&
-          other.traits.includes(trait),
+          hasTrait(other),
       );
-    return this.quarantine.admit(request.traits, isInFlight, this.#options.clock.now());
+    const shared = this.quarantine.admit(
+      request.traits,
+      (trait) => isRunningWith(({ traits }) => traits.includes(trait)),
+      now,
+    );
+    if (this.requests.isEmpty) return shared;
+    const own = this.requests.admit(
+      [request.requestTrait()],
+      (trait) => isRunningWith(({ requestTrait }) => requestTrait() === trait),
+      now,
+    );
+    return stricter(own, shared);
   }
 
   /** Whether a request shares a trait with several servers' ends, so that it is not worth another server. */
   isIsolated(request: OpenRequest): boolean {
-    return request.traits.some((trait) => this.quarantine.isIsolated(trait));
+    return (
+      request.traits.some((trait) => this.quarantine.isIsolated(trait)) ||
+      (!this.requests.isEmpty && this.requests.isIsolated(request.requestTrait()))
+    );
+  }
+
+  /** Whether a trait is one of a request. */
+  hasTrait(request: OpenRequest, trait: Trait): boolean {
+    return (
+      request.traits.includes(trait) ||
+      (this.requests.isQuarantined(trait) && request.requestTrait() === trait)
+    );
   }
 
   /** Records a request that has just been accepted. */
   noteArrival(request: OpenRequest): void {
-    this.quarantine.noteArrival(request.traits, this.#options.clock.now());
+    const now = this.#options.clock.now();
+    this.quarantine.noteArrival(request.traits, now);
+    if (!this.requests.isEmpty) this.requests.noteArrival([request.requestTrait()], now);
   }
 
   /** Records that a request is sent; it is a trial if a trait of it is quarantined. */
   noteSent(request: OpenRequest): void {
-    const trait = request.traits.find((each) => this.quarantine.isQuarantined(each));
-    if (trait === undefined) return;
-    this.#options.log('quarantineTested', { trait, request: request.head.requestId });
-    this.quarantine.noteTrial(request.traits, this.#options.clock.now());
+    this.#noteTrial(this.quarantine, request.traits, request);
+    if (this.requests.isEmpty) return;
+    this.#noteTrial(this.requests, [request.requestTrait()], request);
   }
 
   /** Records that the connection of a request was lost before its response was complete. */
@@ -112,8 +147,11 @@
   }
 
   /** Records a response that is complete, or has been written for some time. */
-  noteSound({ service, traits }: OpenRequest): void {
-    this.quarantine.noteResponse(service.name, traits, this.#options.clock.now());
+  noteSound(request: OpenRequest): void {
+    const { service, traits, requestTrait } = request;
+    const now = this.#options.clock.now();
+    this.quarantine.noteResponse(service.name, traits, now);
+    if (!this.requests.isEmpty) this.requests.noteResponse(service.name, [requestTrait()], now);
   }
 
   /** Records a response that ended with its connection; it is complete unless its server ended. */
@@ -138,7 +176,39 @@
     this.#options.onServerEnd(server.id);
     metrics.count('server_ends_total', { service });
     log('serverEnded', describeServerEnd(end, clock.now()));
-    const traits = suspectTraits(requests);
-    this.quarantine.noteEnd({ server: server.id, service, at, traits });
+    const suspects = suspectsOf(requests);
+    const noteEnd = (quarantine: Quarantine, traits: readonly Trait[]): void =>
+      quarantine.noteEnd({ server: server.id, service, at, traits: [...new Set(traits)] });
+    noteEnd(
+      this.requests,
+      suspects.map(({ requestTrait }) => requestTrait),
+    );
+    noteEnd(
+      this.quarantine,
+      suspects.flatMap(({ traits }) => traits),
+    );
+  }
+
+  #createQuarantine(policy?: QuarantinePolicy): Quarantine {
+    const { log, self, incarnation, peers, onQuarantined, onChange } = this.#options;
+    return new Quarantine({
+      self,
+      incarnation,
+      peers,
+      ...(policy === undefined ? {} : { policy }),
+      onQuarantined: ({ trait, endCount, trialCount: trials, isDoubtful }, source) => {
+        log('traitQuarantined', { trait, source, ends: endCount, trials, isDoubtful });
+        onQuarantined(trait);
+      },
+      onReleased: (trait) => log('traitReleased', { trait }),
+      onChange,
+    });
+  }
+
+  #noteTrial(quarantine: Quarantine, traits: readonly Trait[], { head }: OpenRequest): void {
+    const trait = traits.find((each) => quarantine.isQuarantined(each));
+    if (trait === undefined) return;
+    this.#options.log('quarantineTested', { trait, request: head.requestId });
+    quarantine.noteTrial(traits, this.#options.clock.now());
   }
 }
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -99,6 +99,8 @@
   asOf: z.record(z.string(), revisionSchema),
   // What the sender learned, since its last digest on this connection, about requests that crash servers.
   quarantine: z.optional(quarantineSchema),
+  // The same about single requests that do; absent from older builds.
+  requests: z.optional(quarantineSchema),
   // The same about the limits of servers; absent from older builds.
   limits: z.optional(z.readonly(z.array(limitSchema))),
 });
--- a/tasks/gateway/_quarantineGate.ts
+++ b/tasks/gateway/_quarantineGate.ts
@@ -74,7 +74,7 @@
   /** Ends all requests with a trait whose responses have not begun. */
   rejectAll(trait: Trait, requests: Iterable<OpenRequest>): void {
     [...requests]
-      .filter(({ traits }) => traits.includes(trait))
+      .filter((request) => this.#options.guard.hasTrait(request, trait))
       .forEach((request) => this.reject(request));
   }
 
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -7,7 +7,6 @@
   nextStep,
 } from '../../core/dispatch/mod.ts';
 import type { AttemptOutcome, ServerView } from '../../core/dispatch/mod.ts';
-import type { Quarantine } from '../../core/quarantine/mod.ts';
 import { selectRoute, selectService } from '../../core/serving/mod.ts';
 import type { Deployment, ModelName, Service } from '../../core/serving/mod.ts';
 import type { Reach } from '../../core/serverLimits/mod.ts';
@@ -53,7 +52,7 @@
   readonly peerNames: () => readonly string[];
   /** Returns how many of the known entries are in touch with this one. */
   readonly peerReach: () => Reach;
-  /** Called when the other entries should learn of a change of `quarantine` or `limits`. */
+  /** Called when the other entries should learn of a change of `quarantines` or `limits`. */
   readonly onSharedChange: () => void;
   /** Returns a random number from 0 to 1; adds jitter to `Retry-After`. */
   readonly random: () => number;
@@ -163,8 +162,8 @@
   }
 
   /** What crashes servers; shared with the other entries. */
-  get quarantine(): Quarantine {
-    return this.#guard.quarantine;
+  get quarantines(): Pick<CrashGuard, 'quarantine' | 'requests'> {
+    return this.#guard;
   }
 
   /** The limits of servers, kept together with the other entries. */
@@ -201,7 +200,7 @@
   #scheduleTick(): void {
     this.#cancelTick = this.#options.clock.schedule(TICK_INTERVAL_MS, () => {
       this.#table.tick();
-      this.quarantine.tick(this.#options.clock.now());
+      this.#guard.tick();
       this.#scheduleTick();
     });
   }
--- a/tasks/gateway/peerTask.test.ts
+++ b/tasks/gateway/peerTask.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { Quarantine } from '../../core/quarantine/mod.ts';
+import { Quarantine, REQUEST_POLICY, SHARED_TRAIT_POLICY } from '../../core/quarantine/mod.ts';
 import { RecordMirror } from '../../core/mirror/mod.ts';
 import { LimitRegistry } from '../../core/serverLimits/mod.ts';
 import { encodeMessagePack } from '../_decodeChecked.ts';
@@ -10,6 +10,8 @@
   readonly task: PeerTask;
   readonly mirror: RecordMirror;
   readonly limits: LimitRegistry;
+  readonly quarantine: Quarantine;
+  readonly requestQuarantine: Quarantine;
 };
 
 function createLimits(): LimitRegistry {
@@ -18,11 +20,12 @@
 
 const NO_PERMITS = { handleRequest: (): void => undefined };
 
-function createQuarantine(self: string): Quarantine {
+function createQuarantine(self: string, policy = SHARED_TRAIT_POLICY): Quarantine {
   return new Quarantine({
     self,
     incarnation: self,
     peers: () => [],
+    policy,
     onQuarantined: () => undefined,
     onReleased: () => undefined,
     onChange: () => undefined,
@@ -32,6 +35,7 @@
 function startNode(network: FakeNetwork, address: string, seeds: readonly string[]): Node {
   const mirror = new RecordMirror();
   const quarantine = createQuarantine(address);
+  const requestQuarantine = createQuarantine(address, REQUEST_POLICY);
   const limits = createLimits();
   const task = new PeerTask({
     address,
@@ -41,6 +45,7 @@
     dial: network.dialFrom(address),
     lagMs: () => address.length,
     quarantine,
+    requestQuarantine,
     limits,
     permits: NO_PERMITS,
     log: () => undefined,
@@ -48,7 +53,7 @@
   });
   network.listen(address, task.accept);
   task.start();
-  return { task, mirror, limits };
+  return { task, mirror, limits, quarantine, requestQuarantine };
 }
 
 describe('PeerTask', () => {
@@ -119,6 +124,24 @@
     });
   });
 
+  it('spreads requests that crash servers apart from what such requests share', () => {
+    const network = new FakeNetwork();
+    const nodes = ['a', 'b', 'c', 'd', 'e'].map((name) => startNode(network, name, ['a']));
+    network.run(4000);
+    const { requestQuarantine, task } = nodes[1]!;
+    [1, 2, 3].forEach((server) => {
+      const end = { server: `i-${server}`, service: 's', at: network.clock.now() };
+      requestQuarantine.noteEnd({ ...end, traits: ['request:bad'] });
+    });
+    requestQuarantine.tick(network.clock.now() + 200);
+    task.pushChanges();
+    network.run(2000);
+    nodes.forEach((node) => {
+      expect(node.requestQuarantine.quarantined).to.deep.equal(['request:bad']);
+      expect(node.quarantine.isEmpty).to.equal(true);
+    });
+  });
+
   it('counts the entries in touch, and those that are cut off as known', () => {
     const network = new FakeNetwork();
     const nodes = ['a', 'b', 'c', 'd'].map((name) => startNode(network, name, ['a']));
@@ -144,6 +167,7 @@
       dial: network.dialFrom('a'),
       lagMs: () => 0,
       quarantine,
+      requestQuarantine: createQuarantine('a'),
       limits,
       permits: NO_PERMITS,
       log,
@@ -245,6 +269,7 @@
       dial: network.dialFrom('a'),
       lagMs: () => 0,
       quarantine: createQuarantine('a'),
+      requestQuarantine: createQuarantine('a'),
       limits: createLimits(),
       permits: NO_PERMITS,
       log: (event) => events.push(event),
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -33,8 +33,9 @@
   readonly log: Log;
   /** Returns the mean event-loop lag of this process. */
   readonly lagMs: () => Milliseconds;
-  /** What crashes servers, shared with the other entries. */
+  /** What requests share that crash servers, and such requests themselves; known to all entries. */
   readonly quarantine: SharedQuarantine;
+  readonly requestQuarantine: SharedQuarantine;
   /** The limits that servers name, shared with the other entries. */
   readonly limits: SharedLimits;
   /** Issues permits to the other entries. */
@@ -64,9 +65,13 @@
 const MEMBER_TIMEOUT_MS: Milliseconds = 20_000;
 
 /** Changes of the shared state that the receiver of a digest knows. */
-type SharedChanges = { readonly quarantine: number; readonly limits: number };
+type SharedChanges = {
+  readonly quarantine: number;
+  readonly requests: number;
+  readonly limits: number;
+};
 
-const NO_CHANGES: SharedChanges = { quarantine: 0, limits: 0 };
+const NO_CHANGES: SharedChanges = { quarantine: 0, requests: 0, limits: 0 };
 
 /**
  * Gossip between entries: spreads membership, event-loop lags and the newest store records.
@@ -171,11 +176,11 @@
     if (this.#cancelPush !== undefined) return;
     this.#cancelPush = this.#options.clock.schedule(PUSH_DELAY_MS, () => {
       this.#cancelPush = undefined;
-      const { quarantine, limits } = this.#changes;
+      const { quarantine, requests, limits } = this.#changes;
       this.#links.addresses
         .filter((address) => {
           const sent = this.#sentChanges.get(address) ?? NO_CHANGES;
-          return sent.quarantine < quarantine || sent.limits < limits;
+          return sent.quarantine < quarantine || sent.requests < requests || sent.limits < limits;
         })
         .forEach((address) => this.#sendDigest(address));
     });
@@ -214,13 +219,17 @@
 
   /** Numbers of the latest changes of the shared state. */
   get #changes(): SharedChanges {
-    const { quarantine, limits } = this.#options;
-    return { quarantine: quarantine.change, limits: limits.change };
+    const { quarantine, requestQuarantine, limits } = this.#options;
+    return {
+      quarantine: quarantine.change,
+      requests: requestQuarantine.change,
+      limits: limits.change,
+    };
   }
 
   /** Encodes a digest, with what changed in the shared state since the changes that the receiver knows. */
   #digest(known: SharedChanges): Uint8Array {
-    const { address, mirrors, clock, quarantine, limits } = this.#options;
+    const { address, mirrors, clock, quarantine, requestQuarantine, limits } = this.#options;
     const now = clock.now();
     return encodePeerMessage({
       kind: 'digest',
@@ -231,6 +240,7 @@
       ),
       asOf: Object.fromEntries([...mirrors].map(([prefix, mirror]) => [prefix, mirror.asOf])),
       quarantine: quarantine.updateSince(known.quarantine, now),
+      requests: requestQuarantine.updateSince(known.requests, now),
       limits: limits.updateSince(known.limits, now),
     });
   }
@@ -276,6 +286,9 @@
     if (message.quarantine !== undefined) {
       this.#options.quarantine.applyUpdate(message.quarantine, now);
     }
+    if (message.requests !== undefined) {
+      this.#options.requestQuarantine.applyUpdate(message.requests, now);
+    }
     if (message.limits !== undefined) this.#options.limits.applyUpdate(message.limits, now);
     sendDigest?.();
   }
