Keep the time of the last end in each of several verdicts

What callers saw: of several requests that could not be told apart, all but the first were tested again at once, and entries dropped the digests of the one that had judged. Cause: the first verdict removed the ends that it explains from the other suspects before their verdicts were made, so that these had no end left: endCount 0 and a time of minus infinity, whose age no receiver accepts. Shared traits in doubt had the same fault. Evidence: ageMs Infinity in updateSince. Change: all verdicts are made before the first takes effect.

--- a/core/quarantine/quarantine.test.ts
+++ b/core/quarantine/quarantine.test.ts
@@ -258,6 +258,27 @@
     expect(quarantine.suspectCount).to.equal(0);
   });
 
+  it('tests two requests that it cannot tell apart after two seconds, and frees the sound one', () => {
+    const quarantine = createRequestQuarantine();
+    const both = [CRASHING, BYSTANDER];
+    noteSeries(quarantine, [both, both, both]);
+    expect(quarantine.quarantined).to.have.members(both);
+    expect(quarantine.admit([BYSTANDER], never, 2000).kind).to.equal('reject');
+    expect(quarantine.admit([BYSTANDER], never, 2200).kind).to.equal('trial');
+    quarantine.noteTrial([BYSTANDER], 2200);
+    quarantine.noteResponse(SERVICE, [BYSTANDER], 2300);
+    expect(quarantine.quarantined).to.deep.equal([CRASHING]);
+  });
+
+  it('passes on several verdicts with the time of their last end', () => {
+    const quarantine = createRequestQuarantine();
+    const both = [CRASHING, BYSTANDER];
+    noteSeries(quarantine, [both, both, both]);
+    const { verdicts } = quarantine.updateSince(0, 500)!;
+    expect(verdicts).to.have.length(2);
+    verdicts.forEach((verdict) => expect(verdict).to.include({ ageMs: 400, endCount: 3 }));
+  });
+
   it('tests a verdict twice in all, whatever the entry', () => {
     const [a, b] = [createRequestQuarantine('a', ['b']), createRequestQuarantine('b', ['a'])];
     noteSeries(a, [[CRASHING], [CRASHING], [CRASHING]]);
--- a/core/quarantine/quarantine.ts
+++ b/core/quarantine/quarantine.ts
@@ -409,7 +409,10 @@
     for (;;) {
       const guilty = this.#findGuilty(now);
       if (guilty.length === 0) return;
-      guilty.forEach((suspect) => this.#quarantine(suspect, guilty.length > 1, now));
+      // All verdicts before the first takes effect, which removes the ends that it explains.
+      guilty
+        .map((suspect) => Quarantine.#verdictOn(suspect, guilty.length > 1))
+        .forEach((verdict) => this.#quarantine(verdict, now));
     }
   }
 
@@ -444,15 +447,11 @@
     return { counted: this.#policy.countsSimultaneousEnds ? servers : separate, servers };
   }
 
-  #quarantine(suspect: Suspect, isDoubtful: boolean, now: Milliseconds): void {
-    const { trait, reportCount, lastEndAt } = suspect;
-    const verdict: Verdict = {
-      trait,
-      endCount: reportCount,
-      trialCount: 0,
-      isDoubtful,
-      changedAt: lastEndAt,
-    };
+  static #verdictOn({ trait, reportCount, lastEndAt }: Suspect, isDoubtful: boolean): Verdict {
+    return { trait, endCount: reportCount, trialCount: 0, isDoubtful, changedAt: lastEndAt };
+  }
+
+  #quarantine(verdict: Verdict, now: Milliseconds): void {
     this.#setVerdict(verdict, now);
     this.#options.onQuarantined(verdict, 'own');
     this.#options.onChange();
