Answer requests that are open at the end of the grace period

What callers saw: an entry that was stopped closed their connections without an answer when a server stayed silent to the end. Cause: leave() closed all connections while requests were open. Change: they get their final responses first, 503 if no server runs them, 502 otherwise, and 100 ms to leave. The attempt's timeout moves to a module of its own, without change.

--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -34,9 +34,12 @@
 /** Time after SIGTERM during which new requests are still served; the load balancer needs two seconds to react. */
 const LAME_DUCK_MS: Milliseconds = 2600;
 
-/** Time before the end of the grace period at which open requests are aborted. */
+/** Time before the end of the grace period at which open requests get their final responses. */
 const ABORT_MARGIN_MS: Milliseconds = 400;
 
+/** Time in which these responses leave before the connections are closed. */
+const FLUSH_MS: Milliseconds = 100;
+
 /** Time between checks whether all open requests have ended. */
 const DRAIN_POLL_INTERVAL_MS: Milliseconds = 50;
 
@@ -133,6 +136,10 @@
     while (server.openRequestCount > 0 && performance.now() < abortAt) {
       await sleep(DRAIN_POLL_INTERVAL_MS);
     }
+    if (server.openRequestCount > 0) {
+      gateway.endOpenRequests();
+      await sleep(FLUSH_MS);
+    }
     server.abort();
     closeReadiness();
     closeMetrics();
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -1,11 +1,6 @@
 import type { CallerRequest } from '../../proxy/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
-import {
-  chooseServer,
-  mayRunAgain,
-  MISDIRECTED_STATUS,
-  nextStep,
-} from '../../core/dispatch/mod.ts';
+import { chooseServer, MISDIRECTED_STATUS, nextStep } from '../../core/dispatch/mod.ts';
 import type { AttemptOutcome, ServerView } from '../../core/dispatch/mod.ts';
 import { selectRoute, selectService } from '../../core/serving/mod.ts';
 import type { Deployment, ModelName, Service } from '../../core/serving/mod.ts';
@@ -17,6 +12,7 @@
 import { AdapterVersions } from './_adapterVersions.ts';
 import { AdapterWaits } from './_adapterWaits.ts';
 import { respondLocally } from './_respondLocally.ts';
+import { scheduleAttemptTimeout } from './_attemptTimeout.ts';
 import { CrashGuard } from './_crashGuard.ts';
 import { describeArrival, describeChoice, describeEnd } from './_describeRequest.ts';
 import { maxWaitBeforeSending, openRequest } from './_openRequest.ts';
@@ -58,15 +54,9 @@
   readonly random: () => number;
 };
 
-/** Shortest timeout of an attempt; a healthy server responds within some tens of milliseconds. */
-const MIN_ATTEMPT_TIMEOUT_MS: Milliseconds = 50;
-
 /** Interval at which silent keepers and expired servers are detected. */
 const TICK_INTERVAL_MS: Milliseconds = 150;
 
-/** Timeout of an attempt until its response head, as a multiple of the route's latency objective. */
-const OBJECTIVES_PER_ATTEMPT = 1;
-
 /** Proxies callers' requests to backend servers: chooses a server, retries, and responds. */
 export class Gateway {
   readonly #options: GatewayOptions;
@@ -212,6 +202,11 @@
     this.#table.close();
   }
 
+  /** Ends all open requests, since the process is about to stop. */
+  endOpenRequests(): void {
+    [...this.#openRequests].forEach((request) => this.#giveUp(request, 'stopping'));
+  }
+
   /** Refuses all further requests. */
   refuseNew(): void {
     this.#isRefusing = true;
@@ -355,11 +350,10 @@
   #send(request: OpenRequest, view: ServerView): void {
     const { clock } = this.#options;
     const { head, caller } = request;
-    const attemptEpoch = request.attemptEpoch + 1;
     const now = clock.now();
     request.view = view;
     request.isAwaitingAdapter = false;
-    request.attemptEpoch = attemptEpoch;
+    request.attemptEpoch += 1;
     request.sentAt = now;
     request.writingSince = undefined;
     request.isProvenSound = false;
@@ -393,22 +387,8 @@
         },
       }),
     );
-    this.#scheduleAttemptTimeout(request, attemptEpoch);
-  }
-
-  /** Retries a repeatable request on another server when its server does not respond. */
-  #scheduleAttemptTimeout(request: OpenRequest, attemptEpoch: number): void {
-    const { route } = request;
-    if (route.repeatability === 'once') return;
-    const timeoutMs = Math.max(MIN_ATTEMPT_TIMEOUT_MS, route.objectiveMs * OBJECTIVES_PER_ATTEMPT);
-    request.timers.push(
-      this.#options.clock.schedule(timeoutMs, () => {
-        const isCurrent = !request.isFinished && request.attemptEpoch === attemptEpoch;
-        if (!isCurrent || request.isAwaitingAdapter || request.caller.response.hasBegun()) return;
-        if (!mayRunAgain({ ...route, mayHaveRunCount: request.mayHaveRunCount + 1 })) return;
-        request.attempt?.abort();
-        this.#handleAttemptFailure(request, 'unknown', `no response within ${timeoutMs} ms`);
-      }),
+    scheduleAttemptTimeout(request, clock, (timeoutMs) =>
+      this.#handleAttemptFailure(request, 'unknown', `no response within ${timeoutMs} ms`),
     );
   }
 
@@ -458,13 +438,20 @@
       // has ended is known only once all its connections have had time to close.
       const delayMs = isConnectionLost ? SETTLE_MS + 1 : 0;
       request.timers.push(clock.schedule(delayMs, () => this.#dispatch(request)));
-    } else if (request.caller.response.hasBegun()) {
+    } else {
+      this.#giveUp(request, step === 'again' ? 'retry-budget' : outcome);
+    }
+  }
+
+  /** Sends a request its final response, since it will not be sent to a server again. */
+  #giveUp(request: OpenRequest, reason: string): void {
+    if (request.caller.response.hasBegun()) {
       this.#abortResponse(request);
-    } else if (request.mayHaveRunCount === 0) {
-      this.#refuse(request, step === 'again' ? 'retry-budget' : outcome, retryDelayMs('not-run'));
+    } else if (request.mayHaveRunCount === 0 && request.attempt === undefined) {
+      this.#refuse(request, reason, retryDelayMs('not-run'));
     } else {
       respondLocally(request.caller, 'unknown');
-      this.#finish(request, 'unknown');
+      this.#finish(request, 'unknown', { reason });
     }
   }
 
