Load an adapter on a server with a limit when no other can in time

Cause: adapters were loaded on servers without a limit only. Change: if none of these can in time and no holder is left to wait for, any server may load.

--- a/core/dispatch/chooseServer.test.ts
+++ b/core/dispatch/chooseServer.test.ts
@@ -283,6 +283,13 @@
       expect(chooseServer(plain, [busy, view('b')])).to.include({ view: busy });
     });
 
+    it('loads an adapter that no server holds on one with a limit if no other can in time', () => {
+      const request = { ...REQUEST, limited: limited(['a']) };
+      const full = view('full', { freeablePlaces: 0 });
+      const choice = chooseServer(request, [view('a'), full]);
+      expect(choice.kind === 'load' && choice.view.server.id).to.equal('a');
+    });
+
     it('loads no further copy on a server with a limit', () => {
       const busy = view('busy', { ...held, running: 50, pauseMs: 200 });
       const choice = chooseServer({ ...REQUEST, limited: limited(['b'], ['b']) }, [
--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -285,8 +285,8 @@
 }
 
 /**
- * Loads the adapter on a server without a limit, or waits for a holder that has one. A copy on another
- * server with a limit would not let more requests through.
+ * Loads the adapter on a server without a limit, or else waits for a holder that has one, or else loads
+ * it on any server. A copy on another server with a limit would not let more requests through soon.
  */
 function chooseWithoutOpenHolder(
   request: ServerChoiceRequest,
@@ -294,10 +294,10 @@
   closedHolders: readonly ServerView[],
 ): ServerChoice {
   const unlimited = ready.filter((view) => !isLimited(request, view));
-  const hasChoice = unlimited.length > 0 || closedHolders.length === 0;
-  const choice = chooseLoadTarget(request, unlimited.length > 0 ? unlimited : ready);
-  if (hasChoice && (choice.kind === 'load' || closedHolders.length === 0)) return choice;
-  return { kind: 'await-permit', views: closedHolders };
+  const choice = chooseLoadTarget(request, unlimited);
+  if (choice.kind === 'load') return choice;
+  if (closedHolders.length > 0) return { kind: 'await-permit', views: closedHolders };
+  return unlimited.length === ready.length ? choice : chooseLoadTarget(request, ready);
 }
 
 /**
