Wait a moment for an imminent permit before an adapter is loaded elsewhere

What callers saw in the same trial: permits of limited engines lapsed unused, since the request that asked for one had gone on to load its adapter elsewhere before the answer came. Change: such a request waits up to 50 ms, once; when the permit is denied it goes on as before.

--- a/core/dispatch/chooseServer.test.ts
+++ b/core/dispatch/chooseServer.test.ts
@@ -220,11 +220,13 @@
       named: readonly string[],
       permitted: readonly string[] = [],
       unconfirmed: readonly string[] = [],
+      imminent: readonly string[] = [],
     ): LimitedServers {
       return {
         named: new Set(named),
         permitted: new Set(permitted),
         unconfirmed: new Set(unconfirmed),
+        imminent: new Set(imminent),
       };
     }
 
@@ -261,7 +263,7 @@
         holder,
         view('full', { freeablePlaces: 0 }),
       ]);
-      expect(choice).to.deep.equal({ kind: 'await-permit', views: [holder] });
+      expect(choice).to.deep.equal({ kind: 'await-permit', views: [holder], isBrief: false });
     });
 
     it('waits for the holders if all servers name a limit, and loads what none holds', () => {
@@ -270,6 +272,7 @@
       expect(chooseServer(request, servers)).to.deep.equal({
         kind: 'await-permit',
         views: [servers[0]],
+        isBrief: false,
       });
       expect(chooseServer({ ...request, modelName: 'm/a2' }, servers).kind).to.equal('load');
     });
@@ -283,6 +286,16 @@
       expect(chooseServer(plain, [busy, view('b')])).to.include({ view: busy });
     });
 
+    it('waits a moment for a holder whose permit may come at any moment before it loads', () => {
+      const holder = view('a', held);
+      const request = { ...REQUEST, limited: limited(['a'], [], [], ['a']) };
+      expect(chooseServer(request, [holder, view('b')])).to.deep.equal({
+        kind: 'await-permit',
+        views: [holder],
+        isBrief: true,
+      });
+    });
+
     it('loads an adapter that no server holds on one with a limit if no other can in time', () => {
       const request = { ...REQUEST, limited: limited(['a']) };
       const full = view('full', { freeablePlaces: 0 });
@@ -307,6 +320,7 @@
       expect(chooseServer(request, servers)).to.deep.equal({
         kind: 'await-permit',
         views: servers,
+        isBrief: false,
       });
       const permitted = { ...plain, limited: limited(['a', 'b'], ['b']) };
       expect(chooseServer(permitted, servers)).to.include({ kind: 'send', view: servers[1] });
--- a/core/dispatch/chooseServer.ts
+++ b/core/dispatch/chooseServer.ts
@@ -13,7 +13,12 @@
 export type ServerChoice =
   | { readonly kind: 'send'; readonly view: ServerView; readonly replicaTarget?: ServerView }
   | { readonly kind: 'load'; readonly view: ServerView }
-  | { readonly kind: 'await-permit'; readonly views: readonly ServerView[] }
+  | {
+      readonly kind: 'await-permit';
+      readonly views: readonly ServerView[];
+      /** Whether another choice is left if no permit comes at once. */
+      readonly isBrief: boolean;
+    }
   | {
       readonly kind: 'refuse';
       readonly reason: RefusalReason;
@@ -30,6 +35,8 @@
   readonly permitted: ReadonlySet<string>;
   /** Those of these that must be asked again, since only a response tells that the limit has ended. */
   readonly unconfirmed: ReadonlySet<string>;
+  /** Those of the others for which a permit may come at any moment. */
+  readonly imminent: ReadonlySet<string>;
 };
 
 /** What the choice of a server depends on. */
@@ -285,8 +292,8 @@
 }
 
 /**
- * Loads the adapter on a server without a limit, or else waits for a holder that has one, or else loads
- * it on any server. A copy on another server with a limit would not let more requests through soon.
+ * Waits a moment for a holder with a limit whose permit is imminent, or else loads the adapter on a server
+ * without a limit, or else waits for any holder, or else loads the adapter on any server. A copy on another server with a limit would not let more requests through soon.
  */
 function chooseWithoutOpenHolder(
   request: ServerChoiceRequest,
@@ -294,9 +301,13 @@
   closedHolders: readonly ServerView[],
 ): ServerChoice {
   const unlimited = ready.filter((view) => !isLimited(request, view));
+  const imminent = closedHolders.filter(({ server }) => request.limited?.imminent.has(server.id));
+  if (imminent.length > 0) return { kind: 'await-permit', views: imminent, isBrief: true };
   const choice = chooseLoadTarget(request, unlimited);
   if (choice.kind === 'load') return choice;
-  if (closedHolders.length > 0) return { kind: 'await-permit', views: closedHolders };
+  if (closedHolders.length > 0) {
+    return { kind: 'await-permit', views: closedHolders, isBrief: false };
+  }
   return unlimited.length === ready.length ? choice : chooseLoadTarget(request, ready);
 }
 
@@ -328,7 +339,7 @@
     };
     const best = lowestCostView(preferUnconfirmed(request, available), cost);
     return best === undefined
-      ? { kind: 'await-permit', views: closed }
+      ? { kind: 'await-permit', views: closed, isBrief: false }
       : { kind: 'send', view: best };
   }
   const holders = preferUnconfirmed(
--- a/tasks/gateway/_limitGate.test.ts
+++ b/tasks/gateway/_limitGate.test.ts
@@ -136,6 +136,27 @@
     expect(refused.map((each) => each.request)).to.deep.equal([request]);
   });
 
+  it('dispatches a request that waits a moment when the permit comes, is denied, or does not come', () => {
+    const requests = [open(0), open(0), open(0)];
+    const [granted, denied, silent] = requests;
+    gate.holdBriefly(granted!, [a]);
+    limits.open.add('a');
+    gate.noteAnswer('a');
+    expect(dispatched).to.deep.equal([granted]);
+    gate.holdBriefly(denied!, [b]);
+    limits.answers.set('b', { waitMs: 900, rate: 1 });
+    gate.noteAnswer('b');
+    expect(dispatched).to.deep.equal([granted, denied]);
+    limits.answers.clear();
+    gate.holdBriefly(silent!, [b]);
+    run(40);
+    expect(dispatched).to.have.length(2);
+    run(20);
+    expect(dispatched).to.deep.equal(requests);
+    expect(refused).to.deep.equal([]);
+    requests.forEach(({ hasAwaitedPermit }) => expect(hasAwaitedPermit).to.equal(true));
+  });
+
   it('requests permits again while a request waits, and no more after it has ended', () => {
     const request = open(0);
     gate.hold(request, [a], 10_000);
--- a/tasks/gateway/_limitGate.ts
+++ b/tasks/gateway/_limitGate.ts
@@ -22,6 +22,9 @@
 /** Longest wait for a permit that the next request can use as well. */
 const ADVANCE_WAIT_MS: Milliseconds = 1000;
 
+/** Expected wait up to which a permit counts as imminent, and longest time to wait for one. */
+const IMMINENT_MS: Milliseconds = 50;
+
 /** Lead of each step of urgency over requests that arrived earlier. */
 const PRIORITY_STEP_MS: Milliseconds = 200;
 
@@ -34,6 +37,8 @@
   readonly request: OpenRequest;
   readonly views: readonly ServerView[];
   readonly until: Milliseconds;
+  /** Whether it is dispatched again if no permit comes at once. */
+  readonly isBrief: boolean;
 };
 
 /** Holds requests until they may be sent to a server with a limit, or refuses them. */
@@ -60,37 +65,46 @@
     const named = limited.map(({ server }) => server.id);
     const permitted = named.filter((id) => limits.isOpen(id));
     const unconfirmed = permitted.filter((id) => limits.isUnconfirmed(id));
+    const imminent = request.hasAwaitedPermit
+      ? []
+      : named.filter((id) => !limits.isOpen(id) && limits.waitMs(id) <= IMMINENT_MS);
     return {
       named: new Set(named),
       permitted: new Set(permitted),
       unconfirmed: new Set(unconfirmed),
+      imminent: new Set(imminent),
     };
   }
 
   /** Holds a request until one of the servers takes it, or refuses it if none will in time. */
   hold(request: OpenRequest, views: readonly ServerView[], maxWaitMs: Milliseconds): void {
-    const { clock, dispatch } = this.#options;
-    const now = clock.now();
-    request.permitWaitUntil ??= now + maxWaitMs;
-    const until = request.permitWaitUntil;
-    const waiting = { request, views, until };
-    this.#waiting.set(request, waiting);
-    views.forEach((view) => this.#requestPermit(request, view));
-    if (this.#refuseIfLate(waiting)) return;
-    request.timers.push(
-      clock.schedule(until - now, () => {
-        if (this.#waiting.delete(request) && !request.isFinished) dispatch(request);
-      }),
-    );
-    this.#scheduleRequests();
+    request.permitWaitUntil ??= this.#options.clock.now() + maxWaitMs;
+    const waiting = { request, views, until: request.permitWaitUntil, isBrief: false };
+    this.#add(waiting);
+    if (!this.#refuseIfLate(waiting)) this.#dispatchAtEnd(waiting);
+  }
+
+  /** Holds a request for a moment; it is dispatched again in any case. */
+  holdBriefly(request: OpenRequest, views: readonly ServerView[]): void {
+    request.hasAwaitedPermit = true;
+    const until = this.#options.clock.now() + IMMINENT_MS;
+    const waiting = { request, views, until, isBrief: true };
+    this.#add(waiting);
+    this.#dispatchAtEnd(waiting);
   }
 
   /** Dispatches the most urgent requests that a server takes now, and refuses those that it cannot take in time. */
   noteAnswer(serverId: string): void {
     const { limits, dispatch } = this.#options;
     this.#ordered(serverId).forEach((waiting) => {
-      if (!limits.isOpen(serverId)) this.#refuseIfLate(waiting);
-      else if (this.#waiting.delete(waiting.request)) dispatch(waiting.request);
+      const { request, views, isBrief } = waiting;
+      const isImminent = (): boolean =>
+        views.some(({ server }) => limits.waitMs(server.id) <= IMMINENT_MS);
+      if (limits.isOpen(serverId) || (isBrief && !isImminent())) {
+        if (this.#waiting.delete(request)) dispatch(request);
+      } else if (!isBrief) {
+        this.#refuseIfLate(waiting);
+      }
     });
   }
 
@@ -99,6 +113,25 @@
     this.#waiting.delete(request);
   }
 
+  #add(waiting: Waiting): void {
+    const { request, views } = waiting;
+    this.#waiting.set(request, waiting);
+    views.forEach((view) => this.#requestPermit(request, view));
+    this.#scheduleRequests();
+  }
+
+  #dispatchAtEnd(waiting: Waiting): void {
+    const { clock, dispatch } = this.#options;
+    const { request, until } = waiting;
+    request.timers.push(
+      clock.schedule(until - clock.now(), () => {
+        if (this.#waiting.get(request) !== waiting) return;
+        this.#waiting.delete(request);
+        dispatch(request);
+      }),
+    );
+  }
+
   /** The requests that wait for a server, the most urgent first. */
   #ordered(serverId: string): readonly Waiting[] {
     const rank = ({ request }: Waiting): Milliseconds =>
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -50,6 +50,8 @@
   isAwaitingAdapter: boolean;
   /** Until when the request may wait for a server with a limit; `undefined` while it never has. */
   permitWaitUntil: Milliseconds | undefined;
+  /** Whether it has been held for a moment for a permit that seemed imminent. */
+  hasAwaitedPermit: boolean;
   isFinished: boolean;
   timers: Cancellation[];
 };
@@ -113,6 +115,7 @@
     isAwaitingFirstByte: false,
     isAwaitingAdapter: false,
     permitWaitUntil: undefined,
+    hasAwaitedPermit: false,
     isFinished: false,
     timers: [],
   };
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -335,7 +335,8 @@
     } else if (choice.kind === 'refuse') {
       this.#refuse(request, choice.reason, choice.retryAfterMs);
     } else if (choice.kind === 'await-permit') {
-      this.#limitGate.hold(request, choice.views, maxWaitMs);
+      if (choice.isBrief) this.#limitGate.holdBriefly(request, choice.views);
+      else this.#limitGate.hold(request, choice.views, maxWaitMs);
     } else if (choice.kind === 'load') {
       this.#table.requestAdapter(choice.view, modelName ?? '', minVersion, maxWaitMs);
       this.#adapterWaits.hold(request, choice.view, maxWaitMs);
