End the limit of a server that has started again under its id

What callers saw: the limit of a server's earlier life still held for the next one until a response said otherwise. Cause: LimitRegistry.noteRestart had no caller. Change: a record with a later start ends the limit, and the rate grows as after any end.

--- a/programs/serving/serverLimit.test.ts
+++ b/programs/serving/serverLimit.test.ts
@@ -140,6 +140,18 @@
     }
   });
 
+  it('has no limit any more once it has started again under its id', async () => {
+    const [server] = fleet.servers;
+    const [entry] = fleet.entries;
+    server!.namedLimit = '0.2';
+    while (server!.arrivals.length === 0) {
+      await entry!.call({ id: `a${Math.random()}`, path: '/look/a' });
+    }
+    await entry!.logged(({ event }) => event === 'serverLimitNamed');
+    fleet.store.putServer('i-app-0', server!.record('app', 'ready', 2000));
+    await entry!.logged(({ event }) => event === 'serverLimitEnded');
+  });
+
   it('keeps its last limit and its answer when a value is none', async () => {
     const [server] = fleet.servers;
     const [entry] = fleet.entries;
--- a/tasks/gateway/_serverLimits.ts
+++ b/tasks/gateway/_serverLimits.ts
@@ -84,6 +84,11 @@
     this.#options.metrics.count('limited_requests_total', { server: serverId, hasPermit });
   }
 
+  /** Records that a server has started again under its id. */
+  noteRestart(serverId: string): void {
+    this.registry.noteRestart(serverId, this.#options.clock.now());
+  }
+
   /** Forgets a server that was removed. */
   forget(serverId: string): void {
     this.registry.forget(serverId);
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -27,6 +27,8 @@
   readonly engineOf: (service: string) => Engine | undefined;
   /** Called when a server's state changes, so that requests waiting for it can be dispatched. */
   readonly onServerChange: (view: ServerView) => void;
+  /** Called when a server has started again under its id. */
+  readonly onServerRestarted: (id: string) => void;
   /** Called when a server has been removed. */
   readonly onServerRemoved: (id: string) => void;
 };
@@ -143,7 +145,10 @@
 
   #updateRecord(server: BackendServer): void {
     const view = this.#views.get(server.id);
-    if (view !== undefined) view.server = server;
+    if (view === undefined) return;
+    const hasRestarted = server.bornAt > view.server.bornAt;
+    view.server = server;
+    if (hasRestarted) this.#options.onServerRestarted(server.id);
   }
 
   #sendUse(view: ServerView, name: ModelName | undefined, hasChanged: boolean): void {
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -114,6 +114,7 @@
       ...options,
       engineOf: (service) => this.#deployment?.services.get(service)?.engine,
       onServerChange: (view) => this.#adapterWaits.noteServerChange(view, this.#openRequests),
+      onServerRestarted: (id) => this.#limits.noteRestart(id),
       onServerRemoved: (id) => {
         this.#health.forget(id);
         this.#limits.forget(id);
