--- a/core/serverLimits/_permitBucket.ts
+++ b/core/serverLimits/_permitBucket.ts
@@ -7,7 +7,7 @@
   readonly expiresAt: Milliseconds;
 };
 
-/** Permits that may be saved up, as the time in which they accrue; one at least. */
+/** Permits that may be saved up besides one, as the time in which they accrue. */
 const BURST_MS: Milliseconds = 100;
 
 /** Lead of each step of urgency over processes whose last permit is longer ago. */
@@ -50,7 +50,7 @@
   /** Adds the permits that have accrued since the last call. */
   refill(perSecond: number, now: Milliseconds): void {
     const elapsedMs = Math.max(0, now - this.#refilledAt);
-    const capacity = Math.max(1, (perSecond * BURST_MS) / MILLISECONDS_IN_SECOND);
+    const capacity = 1 + (perSecond * BURST_MS) / MILLISECONDS_IN_SECOND;
     const accrued = (elapsedMs * perSecond) / MILLISECONDS_IN_SECOND;
     this.#tokens = Math.min(capacity, this.#tokens + accrued);
     this.#refilledAt = Math.max(this.#refilledAt, now);
--- a/programs/serving/serverLimit.test.ts
+++ b/programs/serving/serverLimit.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import type { BackendServerStandin } from '../../platform/testing/mod.ts';
 import { startEntryFleet } from './testing/entryFleet.ts';
-import type { EntryFleet } from './testing/entryFleet.ts';
+import type { EntryFleet, FleetEntry } from './testing/entryFleet.ts';
 import type { CallerResult } from './testing/servingWorld.ts';
 
 /** Time after a limit is named from which on it must be kept. */
@@ -125,14 +125,23 @@
     expect(known[0]!.arrivals).to.have.length(1);
   });
 
+  /** Sends requests to an entry until a server has named its limit to it. */
+  async function nameLimit(
+    server: BackendServerStandin,
+    entry: FleetEntry,
+    limit: string,
+  ): Promise<void> {
+    server.namedLimit = limit;
+    for (let number = 0; server.arrivals.length === 0; number += 1) {
+      await entry.call({ id: `a${number}`, path: '/look/a' });
+    }
+    await entry.logged(({ event }) => event === 'serverLimitNamed');
+  }
+
   it('gets its load back once it names none', async () => {
     const [server] = fleet.servers;
-    server!.namedLimit = '4';
     const [entry] = fleet.entries;
-    while (server!.arrivals.length === 0) {
-      await entry!.call({ id: `a${Math.random()}`, path: '/look/a' });
-    }
-    await entry!.logged(({ event }) => event === 'serverLimitNamed');
+    await nameLimit(server!, entry!, '4');
     server!.namedLimit = undefined;
     const isEnded = entry!.logged(({ event }) => event === 'serverLimitEnded').then(() => true);
     for (let number = 0; !(await Promise.race([isEnded, sleep(20, false)])); number += 1) {
@@ -143,11 +152,7 @@
   it('has no limit any more once it has started again under its id', async () => {
     const [server] = fleet.servers;
     const [entry] = fleet.entries;
-    server!.namedLimit = '0.2';
-    while (server!.arrivals.length === 0) {
-      await entry!.call({ id: `a${Math.random()}`, path: '/look/a' });
-    }
-    await entry!.logged(({ event }) => event === 'serverLimitNamed');
+    await nameLimit(server!, entry!, '0.2');
     fleet.store.putServer('i-app-0', server!.record('app', 'ready', 2000));
     await entry!.logged(({ event }) => event === 'serverLimitEnded');
   });
@@ -155,11 +160,7 @@
   it('keeps its last limit and its answer when a value is none', async () => {
     const [server] = fleet.servers;
     const [entry] = fleet.entries;
-    server!.namedLimit = '0.2';
-    while (server!.arrivals.length === 0) {
-      await entry!.call({ id: `a${Math.random()}`, path: '/look/a' });
-    }
-    await entry!.logged(({ event }) => event === 'serverLimitNamed');
+    await nameLimit(server!, entry!, '0.2');
     fleet.servers.forEach((each) => {
       each.namedLimit = 'plenty';
     });
--- a/tasks/gateway/_serverLimits.ts
+++ b/tasks/gateway/_serverLimits.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { ResponseHeaders } from '../../platform/mod.ts';
+import { limitLogRate } from '../_limitLogRate.ts';
 import type { Dial } from '../ports/mod.ts';
 import type { OpenRequest } from './_openRequest.ts';
 import { PermitTask } from './permitTask.ts';
@@ -35,9 +36,12 @@
 
   readonly #options: ServerLimitsOptions;
 
+  readonly #rateLimitedLog: Log;
+
   constructor(options: ServerLimitsOptions) {
-    const { log, metrics } = options;
+    const { log, metrics, clock } = options;
     this.#options = options;
+    this.#rateLimitedLog = limitLogRate(log, clock);
     this.registry = new LimitRegistry({
       onLimit: ({ server, perSecond, isEnded }, source) =>
         log(isEnded ? 'serverLimitEnded' : 'serverLimitNamed', { server, perSecond, source }),
@@ -97,14 +101,14 @@
 
   /** Records what the head of a response says of its server. */
   noteHead(request: OpenRequest, status: number, response: ResponseHeaders): void {
-    const { clock, log } = this.#options;
+    const { clock } = this.#options;
     const { view, head, sentAt } = request;
     const { requestId, hasProof, isNotRun, serverLimit } = response;
     // Another server, or the response to another request.
     if (view === undefined || requestId !== head.requestId || status === MISDIRECTED_STATUS) return;
     const { id } = view.server;
     if (serverLimit?.kind === 'invalid') {
-      log('serverLimitInvalid', { server: id, value: serverLimit.text });
+      this.#rateLimitedLog('serverLimitInvalid', { server: id, value: serverLimit.text });
     } else if (serverLimit !== undefined && (hasProof || isNotRun)) {
       this.registry.noteNamed(id, serverLimit.perSecond, sentAt, clock.now());
     } else if (serverLimit === undefined && hasProof) {
