Name the quarantine of single requests after what it holds

CrashGuard.requests becomes requestQuarantine, as its users call it. Tests of the gateway and of crashing requests: 63 pass. No behaviour is changed.

--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -105,7 +105,7 @@
     log,
     mirrors: records.mirrors,
     quarantine: gateway.quarantines.quarantine,
-    requestQuarantine: gateway.quarantines.requests,
+    requestQuarantine: gateway.quarantines.requestQuarantine,
     limits: gateway.limits.registry,
     permits: gateway.limits.permits,
     lagMs: () => loadShedding.lagMs,
--- a/tasks/gateway/_crashGuard.ts
+++ b/tasks/gateway/_crashGuard.ts
@@ -54,7 +54,7 @@
   readonly quarantine: Quarantine;
 
   /** Single requests that crash servers each time they come. */
-  readonly requests: Quarantine;
+  readonly requestQuarantine: Quarantine;
 
   readonly #options: CrashGuardOptions;
 
@@ -72,18 +72,18 @@
       onEnd: (end) => this.#handleEnd(end),
     });
     this.quarantine = this.#createQuarantine();
-    this.requests = this.#createQuarantine(REQUEST_POLICY);
+    this.requestQuarantine = this.#createQuarantine(REQUEST_POLICY);
     metrics.gauge('quarantined_traits', () => this.quarantine.quarantined.length);
     metrics.gauge('suspect_traits', () => this.quarantine.suspectCount);
-    metrics.gauge('quarantined_requests', () => this.requests.quarantined.length);
-    metrics.gauge('suspect_requests', () => this.requests.suspectCount);
+    metrics.gauge('quarantined_requests', () => this.requestQuarantine.quarantined.length);
+    metrics.gauge('suspect_requests', () => this.requestQuarantine.suspectCount);
   }
 
   /** Judges what is suspect. Call it several times a second. */
   tick(): void {
     const now = this.#options.clock.now();
     this.quarantine.tick(now);
-    this.requests.tick(now);
+    this.requestQuarantine.tick(now);
   }
 
   /** Decides whether a request may be sent to a server now. */
@@ -102,8 +102,8 @@
       (trait) => isRunningWith(({ traits }) => traits.includes(trait)),
       now,
     );
-    if (this.requests.isEmpty) return shared;
-    const own = this.requests.admit(
+    if (this.requestQuarantine.isEmpty) return shared;
+    const own = this.requestQuarantine.admit(
       [request.requestTrait()],
       (trait) => isRunningWith(({ requestTrait }) => requestTrait() === trait),
       now,
@@ -115,7 +115,7 @@
   isIsolated(request: OpenRequest): boolean {
     return (
       request.traits.some((trait) => this.quarantine.isIsolated(trait)) ||
-      (!this.requests.isEmpty && this.requests.isIsolated(request.requestTrait()))
+      (!this.requestQuarantine.isEmpty && this.requestQuarantine.isIsolated(request.requestTrait()))
     );
   }
 
@@ -123,7 +123,7 @@
   hasTrait(request: OpenRequest, trait: Trait): boolean {
     return (
       request.traits.includes(trait) ||
-      (this.requests.isQuarantined(trait) && request.requestTrait() === trait)
+      (this.requestQuarantine.isQuarantined(trait) && request.requestTrait() === trait)
     );
   }
 
@@ -131,14 +131,15 @@
   noteArrival(request: OpenRequest): void {
     const now = this.#options.clock.now();
     this.quarantine.noteArrival(request.traits, now);
-    if (!this.requests.isEmpty) this.requests.noteArrival([request.requestTrait()], now);
+    if (this.requestQuarantine.isEmpty) return;
+    this.requestQuarantine.noteArrival([request.requestTrait()], now);
   }
 
   /** Records that a request is sent; it is a trial if a trait of it is quarantined. */
   noteSent(request: OpenRequest): void {
     this.#noteTrial(this.quarantine, request.traits, request);
-    if (this.requests.isEmpty) return;
-    this.#noteTrial(this.requests, [request.requestTrait()], request);
+    if (this.requestQuarantine.isEmpty) return;
+    this.#noteTrial(this.requestQuarantine, [request.requestTrait()], request);
   }
 
   /** Records that the connection of a request was lost before its response was complete. */
@@ -151,7 +152,8 @@
     const { service, traits, requestTrait } = request;
     const now = this.#options.clock.now();
     this.quarantine.noteResponse(service.name, traits, now);
-    if (!this.requests.isEmpty) this.requests.noteResponse(service.name, [requestTrait()], now);
+    if (this.requestQuarantine.isEmpty) return;
+    this.requestQuarantine.noteResponse(service.name, [requestTrait()], now);
   }
 
   /** Records a response that ended with its connection; it is complete unless its server ended. */
@@ -180,7 +182,7 @@
     const noteEnd = (quarantine: Quarantine, traits: readonly Trait[]): void =>
       quarantine.noteEnd({ server: server.id, service, at, traits: [...new Set(traits)] });
     noteEnd(
-      this.requests,
+      this.requestQuarantine,
       suspects.map(({ requestTrait }) => requestTrait),
     );
     noteEnd(
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -153,7 +153,7 @@
   }
 
   /** What crashes servers; shared with the other entries. */
-  get quarantines(): Pick<CrashGuard, 'quarantine' | 'requests'> {
+  get quarantines(): Pick<CrashGuard, 'quarantine' | 'requestQuarantine'> {
     return this.#guard;
   }
 
