Do not report a read that a stop has cut off as an outage of the host list

Cause: the demo stops while a read of the host list is under way, whose failure was logged like an outage. Change: a stopped HostListTask does not log it.

--- a/tasks/hostListTask.ts
+++ b/tasks/hostListTask.ts
@@ -43,7 +43,8 @@
       const hosts = await hostList.read();
       if (!this.#stopped) onHosts(hosts);
     } catch (error) {
-      log('hostListDown', { detail: String(error) });
+      // A read that the stop cuts off says nothing about the service.
+      if (!this.#stopped) log('hostListDown', { detail: String(error) });
     }
     if (this.#stopped) return;
     this.#cancel = clock.schedule(readMs, () => this.start());
