Log what backend servers say of themselves: that they leave, or want a pause

Neither logs nor metrics showed when an entry first saw a server say that it leaves, so an entry that does not read that could not be told from one that forgets it. Nothing decides by it yet.

--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -332,6 +332,25 @@
     message: 'An entry that issues permits for servers with a limit does not answer',
     remedy: 'Look at the log of that entry; the next one in order issues them for some seconds',
   },
+  serverLeaving: {
+    number: 'HS8034',
+    level: 'info',
+    message: 'A backend server says that it leaves and gets no more requests',
+    remedy: 'None needed',
+  },
+  serverPaused: {
+    number: 'HS8035',
+    level: 'warn',
+    message: 'A backend server asks for no further requests for some time',
+    remedy: 'Find out what the server lacks if it repeats',
+  },
+  serverNoticeInvalid: {
+    number: 'HS8036',
+    level: 'warn',
+    message:
+      'What a backend server says of itself cannot be read; what was known before still holds',
+    remedy: 'Correct the header in the backend server',
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
 /** The name of a log event. */
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import { SETTLE_MS } from './_serverEnds.ts';
 import { ServerHealth } from './_serverHealth.ts';
 import { ServerLimits } from './_serverLimits.ts';
+import { ServerNotices } from './_serverNotices.ts';
 import { ServerTable } from './_serverTable.ts';
 import { StartupHold } from './_startupHold.ts';
 
@@ -71,6 +72,8 @@
 
   readonly #limits: ServerLimits;
 
+  readonly #notices: ServerNotices;
+
   readonly #limitGate: LimitGate;
 
   readonly #adapterWaits: AdapterWaits;
@@ -102,6 +105,11 @@
       onAnswer: ({ server }) => this.#limitGate.noteAnswer(server),
       onChange: options.onSharedChange,
     });
+    this.#notices = new ServerNotices({
+      ...options,
+      onBlocked: () => undefined,
+      onChange: options.onSharedChange,
+    });
     this.#limitGate = new LimitGate({
       clock: options.clock,
       limits: this.#limits,
@@ -352,6 +360,7 @@
   #send(request: OpenRequest, view: ServerView): void {
     const { clock } = this.#options;
     const { head, caller } = request;
+    const { server } = view;
     const now = clock.now();
     request.view = view;
     request.isAwaitingAdapter = false;
@@ -371,6 +380,7 @@
         clock,
         onHead: (status, response) => {
           this.#limits.noteHead(request, status, response);
+          this.#notices.noteHead(server, now, status, response);
           if (status !== MISDIRECTED_STATUS || head.modelName === undefined) return;
           view.noteMissing(head.modelName, clock.now());
         },
