Send no request to a server that has said that it leaves or wants a pause

What callers saw: requests went on to servers that had said in their answers that they leave, and were refused by servers that had asked for quiet while others had room. Cause: what a server says of itself in an answer was forwarded to the caller and read by nobody, and a record that is ready again under the same id and start undid a known drain. Class: what a server says to one entry, or said before, is not kept. Change: NoticeRegistry keeps what was said by id and start, merges without regard to order and is told to the other entries; ServerAccess alone says which servers may get a request, at the choice and again at sending.

--- a/programs/serving/_startPeers.ts
+++ b/programs/serving/_startPeers.ts
@@ -4,12 +4,7 @@
 import type { Log } from '../../log/mod.ts';
 import type { ProcessSettings, SocketAddress } from '../../platform/mod.ts';
 import { PeerTask } from '../../tasks/gateway/mod.ts';
-import type {
-  Mirrors,
-  SharedLimits,
-  SharedPermits,
-  SharedQuarantine,
-} from '../../tasks/gateway/mod.ts';
+import type { Mirrors, SharedPermits, SharedStates } from '../../tasks/gateway/mod.ts';
 import { dialWebSocket, listenWebSocket, realClock } from '../../transport/mod.ts';
 import { splitAddress } from './_splitAddress.ts';
 
@@ -34,9 +29,7 @@
   readonly settings: ProcessSettings;
   readonly log: Log;
   readonly mirrors: Mirrors;
-  readonly quarantine: SharedQuarantine;
-  readonly requestQuarantine: SharedQuarantine;
-  readonly limits: SharedLimits;
+  readonly shared: SharedStates;
   readonly permits: SharedPermits;
   /** Returns the mean event-loop lag of this process. */
   readonly lagMs: () => Milliseconds;
@@ -57,11 +50,11 @@
 
 /** Starts gossip with the other entries; returns `NO_PEERS` on a host without a gossip address. */
 export async function startPeers(options: StartPeersOptions): Promise<Peers> {
-  const { settings, ...shared } = options;
+  const { settings, ...rest } = options;
   const { peerAddress, seeds } = settings;
   if (peerAddress === undefined) return NO_PEERS;
   const peers = new PeerTask({
-    ...shared,
+    ...rest,
     address: peerAddress,
     seeds,
     clock: realClock,
--- a/programs/serving/leavingServer.test.ts
+++ b/programs/serving/leavingServer.test.ts
@@ -149,6 +149,10 @@
   it('gets no request from an entry that has just started, and gets them after its own restart', async () => {
     const [server] = fleet.servers;
     const [first] = fleet.entries;
+    // Long enough that a server which has served less is preferred.
+    fleet.servers.forEach((each) => {
+      each.delayMs = 60;
+    });
     server!.leavingWord = '1';
     await play('/look/', 500);
     await first!.logged(({ event }) => event === 'serverLeaving');
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -104,10 +104,8 @@
     settings,
     log,
     mirrors: records.mirrors,
-    quarantine: gateway.quarantines.quarantine,
-    requestQuarantine: gateway.quarantines.requestQuarantine,
-    limits: gateway.limits.registry,
-    permits: gateway.limits.permits,
+    shared: gateway.sharedStates,
+    permits: gateway.permits,
     lagMs: () => loadShedding.lagMs,
     onUpdate: (prefix, update) => records.applyPeerUpdate(prefix, update),
   });
--- a/tasks/gateway/_adapterWaits.ts
+++ b/tasks/gateway/_adapterWaits.ts
@@ -8,6 +8,8 @@
   readonly clock: Clock;
   /** Returns the oldest version of an adapter that may serve requests. */
   readonly minVersionOf: (name: ModelName) => number;
+  /** Whether a server may be sent a request, as far as what it says of itself is concerned. */
+  readonly isAccessible: (view: ServerView) => boolean;
   /** Whether a server takes a request now, as far as its limit is concerned. */
   readonly isOpen: (view: ServerView) => boolean;
   /** Sends a request to a server that has loaded its adapter. */
@@ -40,14 +42,14 @@
 
   /** Sends the requests whose adapter a server now holds, or dispatches them again if it can't serve them. */
   noteServerChange(view: ServerView, requests: Iterable<OpenRequest>): void {
-    const { minVersionOf, isOpen, send, dispatch } = this.#options;
+    const { minVersionOf, isAccessible, isOpen, send, dispatch } = this.#options;
     for (const request of [...requests]) {
       if (!request.isAwaitingAdapter || request.view !== view) continue;
       const name = request.head.modelName ?? '';
       const isHeld = view.holds(name, minVersionOf(name));
-      if (isHeld && view.isReady && isOpen(view)) {
+      if (isHeld && isAccessible(view) && isOpen(view)) {
         send(request, view);
-      } else if (isHeld || view.keeper === undefined || !view.isReady) {
+      } else if (isHeld || view.keeper === undefined || !isAccessible(view)) {
         request.isAwaitingAdapter = false;
         dispatch(request);
       }
--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -35,6 +35,12 @@
   };
 }
 
+/** Returns the log field that counts the servers that a choice passed over, by reason. */
+export function describeBlocks(blocks: ReadonlyMap<string, number>): LogFields {
+  if (blocks.size === 0) return {};
+  return { passedOver: [...blocks].map(([reason, count]) => `${reason}=${count}`).join(' ') };
+}
+
 /** Returns the log fields that tell where a request may have waited before it was handled. */
 export function describeArrival(arrival: RequestArrival): LogFields {
   return {
--- a/tasks/gateway/_limitGate.ts
+++ b/tasks/gateway/_limitGate.ts
@@ -108,6 +108,13 @@
     });
   }
 
+  /** Dispatches again the requests that wait for a server which gets no more. */
+  noteBlocked(serverId: string): void {
+    this.#ordered(serverId).forEach(({ request }) => {
+      if (this.#waiting.delete(request)) this.#options.dispatch(request);
+    });
+  }
+
   /** Forgets a request that has ended. */
   forget(request: OpenRequest): void {
     this.#waiting.delete(request);
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -52,6 +52,8 @@
   permitWaitUntil: Milliseconds | undefined;
   /** Whether it has been held for a moment for a permit that seemed imminent. */
   hasAwaitedPermit: boolean;
+  /** Until when the request may wait for the end of a server's pause; `undefined` while it never has. */
+  pauseWaitUntil: Milliseconds | undefined;
   isFinished: boolean;
   timers: Cancellation[];
 };
@@ -116,6 +118,7 @@
     isAwaitingAdapter: false,
     permitWaitUntil: undefined,
     hasAwaitedPermit: false,
+    pauseWaitUntil: undefined,
     isFinished: false,
     timers: [],
   };
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -63,6 +63,13 @@
   ageMs: ageSchema,
 });
 
+const noticeSchema = z.object({
+  id: z.string(),
+  bornAt: z.number(),
+  isLeaving: z.boolean(),
+  pauseLeftMs: z.number().check(z.nonnegative()),
+});
+
 /** A request for a permit to send a server with a limit one request. */
 const permitRequestSchema = z.object({
   kind: z.literal('permit-request'),
@@ -103,6 +110,8 @@
   requests: z.optional(quarantineSchema),
   // The same about the limits of servers; absent from older builds.
   limits: z.optional(z.readonly(z.array(limitSchema))),
+  // What servers say of themselves; absent from older builds.
+  notices: z.optional(z.readonly(z.array(noticeSchema))),
 });
 
 const peerMessageSchema = z.discriminatedUnion('kind', [
@@ -115,6 +124,9 @@
 /** A gossip message between entries. */
 export type PeerMessage = Readonly<z.infer<typeof peerMessageSchema>>;
 
+/** A digest of what an entry knows. */
+export type DigestMessage = Extract<PeerMessage, { readonly kind: 'digest' }>;
+
 /** A request for a permit, as it arrives from another entry. */
 export type PermitRequestMessage = Extract<PeerMessage, { readonly kind: 'permit-request' }>;
 
--- /dev/null
+++ b/tasks/gateway/_requestEndings.ts
@@ -0,0 +1,109 @@
+import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
+import type { ServerView } from '../../core/dispatch/mod.ts';
+import type { Deployment } from '../../core/serving/mod.ts';
+import type { Log } from '../../log/mod.ts';
+import type { Metrics } from '../../metrics/mod.ts';
+import { describeEnd } from './_describeRequest.ts';
+import type { OpenRequest, RequestEnd } from './_openRequest.ts';
+import { respondLocally } from './_respondLocally.ts';
+import { jitterRetryAfter, retryDelayMs } from './_retryAfter.ts';
+
+/** Options of `RequestEndings`. */
+export type RequestEndingsOptions = {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Returns a random number from 0 to 1; adds jitter to `Retry-After`. */
+  readonly random: () => number;
+  /** Returns the deployment in force. */
+  readonly deployment: () => Deployment | undefined;
+  /** Called when a server has not responded by the deadline of its request. */
+  readonly onLate: (view: ServerView) => void;
+  /** Called once for each request, when it has its final response or its caller has left. */
+  readonly onFinished: (request: OpenRequest, end: RequestEnd) => void;
+};
+
+/** Ends requests with the final response that is true of them. */
+export class RequestEndings {
+  readonly #options: RequestEndingsOptions;
+
+  constructor(options: RequestEndingsOptions) {
+    this.#options = options;
+  }
+
+  /** Sends a request its final response, since it will not be sent to a server again. */
+  giveUp(request: OpenRequest, reason: string): void {
+    if (request.caller.response.hasBegun()) {
+      this.abortResponse(request);
+    } else if (request.mayHaveRunCount === 0 && request.attempt === undefined) {
+      this.refuse(request, reason, retryDelayMs('not-run'));
+    } else {
+      respondLocally(request.caller, 'unknown');
+      this.finish(request, 'unknown', { reason });
+    }
+  }
+
+  /** Aborts a response that has started and cannot be completed. */
+  abortResponse(request: OpenRequest): void {
+    request.caller.response.abort();
+    this.finish(request, 'broken-off');
+  }
+
+  /** Ends a request whose deadline has passed. */
+  expire(request: OpenRequest): void {
+    if (request.isFinished) return;
+    if (request.caller.response.hasBegun()) {
+      this.abortResponse(request);
+    } else if (request.mayHaveRunCount === 0 && request.attempt === undefined) {
+      this.refuse(request, 'deadline', retryDelayMs('not-run'));
+    } else {
+      if (request.view !== undefined) this.#options.onLate(request.view);
+      respondLocally(request.caller, 'late');
+      this.finish(request, 'unknown');
+    }
+  }
+
+  /**
+   * Refuses a request, unless it may have run or its response has begun.
+   *
+   * @param delayMs When the caller should come back; `undefined` if nobody knows.
+   */
+  refuse(request: OpenRequest, reason: string, delayMs: Milliseconds | undefined): void {
+    if (request.caller.response.hasBegun()) {
+      this.abortResponse(request);
+      return;
+    }
+    if (request.mayHaveRunCount > 0 && request.route.repeatability === 'once') {
+      respondLocally(request.caller, 'unknown');
+      this.finish(request, 'unknown', { reason });
+      return;
+    }
+    const { clock, random } = this.#options;
+    const leftMs = request.deadlineAt - clock.now();
+    const retryAfterMs =
+      delayMs === undefined ? undefined : jitterRetryAfter(delayMs, leftMs, random);
+    respondLocally(request.caller, 'refused', retryAfterMs);
+    this.finish(request, 'refused', { reason });
+  }
+
+  /** Ends a request that has its final response, or whose caller has left. */
+  finish(request: OpenRequest, end: RequestEnd, fields: { readonly reason?: string } = {}): void {
+    if (request.isFinished) return;
+    request.isFinished = true;
+    request.timers.forEach((cancel) => cancel());
+    const { clock, metrics, deployment, onFinished } = this.#options;
+    onFinished(request, end);
+    const tookMs = clock.now() - request.acceptedAt;
+    metrics.record('request_ms', tookMs, { route: request.route.name, end });
+    this.logEnd(request.head.requestId, end, {
+      ...fields,
+      ...describeEnd(request, tookMs, deployment()),
+    });
+  }
+
+  /** Logs and counts the end of a request. */
+  logEnd(requestId: string, end: RequestEnd, fields: Parameters<Log>[1]): void {
+    this.#options.metrics.count('requests_total', { end });
+    this.#options.log('gatewayRequestEnded', { request: requestId, end, ...fields });
+  }
+}
--- a/tasks/gateway/_serverNotices.ts
+++ b/tasks/gateway/_serverNotices.ts
@@ -46,6 +46,16 @@
     metrics.gauge('leaving_servers', () => this.registry.leavingCount);
   }
 
+  /** Records that a request is sent to a server. */
+  noteSent(server: ServerStart): void {
+    this.registry.noteSent(server, this.#options.clock.now());
+  }
+
+  /** Forgets the notices of servers that are no longer listed. Call it from time to time. */
+  tick(isListed: (id: string) => boolean): void {
+    this.registry.tick(isListed, this.#options.clock.now());
+  }
+
   /**
    * Records what the head of a response says of its server; all responses count, since each comes from the
    * process at the server's address.
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -27,6 +27,8 @@
   readonly engineOf: (service: string) => Engine | undefined;
   /** Called when a server's state changes, so that requests waiting for it can be dispatched. */
   readonly onServerChange: (view: ServerView) => void;
+  /** Called with each record of a server that drains. */
+  readonly onServerDraining: (server: BackendServer) => void;
   /** Called when a server has started again under its id. */
   readonly onServerRestarted: (id: string) => void;
   /** Called when a server has been removed. */
@@ -72,6 +74,16 @@
     return this.#views.size;
   }
 
+  /** Whether a server is known. */
+  has(id: string): boolean {
+    return this.#views.has(id);
+  }
+
+  /** Returns a server by its id. */
+  viewOf(id: string): ServerView | undefined {
+    return this.#views.get(id);
+  }
+
   /** Returns the servers of a service. */
   viewsOf(service: Service): readonly ServerView[] {
     return [...this.#views.values()].filter(({ server }) => server.service === service.name);
@@ -101,6 +113,7 @@
     this.#updateRecord(server);
     const change = this.#fleet.put(server);
     if (change !== undefined) this.#applyChange(change);
+    if (server.state === 'draining') this.#options.onServerDraining(server);
   }
 
   /**
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -14,17 +14,21 @@
 import { respondLocally } from './_respondLocally.ts';
 import { scheduleAttemptTimeout } from './_attemptTimeout.ts';
 import { CrashGuard } from './_crashGuard.ts';
-import { describeArrival, describeChoice, describeEnd } from './_describeRequest.ts';
+import { describeArrival, describeBlocks, describeChoice } from './_describeRequest.ts';
 import { maxWaitBeforeSending, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
 import { clearAwaitingFirstByte, forwardResponse } from './_forwardResponse.ts';
 import { LimitGate } from './_limitGate.ts';
 import { outboundRequest } from './_outboundRequest.ts';
 import { QuarantineGate } from './_quarantineGate.ts';
+import type { SharedPermits, SharedStates } from './peerTask.ts';
 import { jitterRetryAfter, retryDelayMs } from './_retryAfter.ts';
+import { RequestEndings } from './_requestEndings.ts';
 import { RetryBudgets } from './_retryBudgets.ts';
 import type { RetryBudgetsOptions, RetryLimits } from './_retryBudgets.ts';
 import { SETTLE_MS } from './_serverEnds.ts';
+import { ServerAccess } from './_serverAccess.ts';
+import type { AccessibleServers } from './_serverAccess.ts';
 import { ServerHealth } from './_serverHealth.ts';
 import { ServerLimits } from './_serverLimits.ts';
 import { ServerNotices } from './_serverNotices.ts';
@@ -49,12 +53,15 @@
   readonly peerNames: () => readonly string[];
   /** Returns how many of the known entries are in touch with this one. */
   readonly peerReach: () => Reach;
-  /** Called when the other entries should learn of a change of `quarantines` or `limits`. */
+  /** Called when the other entries should learn of a change of `sharedStates`. */
   readonly onSharedChange: () => void;
   /** Returns a random number from 0 to 1; adds jitter to `Retry-After`. */
   readonly random: () => number;
 };
 
+/** Longest interval at which a request that waits for the end of a pause is dispatched again. */
+const PAUSE_RECHECK_MS: Milliseconds = 50;
+
 /** Interval at which silent keepers and expired servers are detected. */
 const TICK_INTERVAL_MS: Milliseconds = 150;
 
@@ -74,6 +81,8 @@
 
   readonly #notices: ServerNotices;
 
+  readonly #access: ServerAccess;
+
   readonly #limitGate: LimitGate;
 
   readonly #adapterWaits: AdapterWaits;
@@ -86,6 +95,8 @@
 
   readonly #openRequests = new Set<OpenRequest>();
 
+  readonly #endings: RequestEndings;
+
   #deployment: Deployment | undefined;
 
   #cancelTick: Cancellation | undefined;
@@ -97,6 +108,12 @@
     const self = options.peerName ?? options.entryId;
     this.#retryBudgets = new RetryBudgets(options);
     this.#health = new ServerHealth(options.clock);
+    this.#endings = new RequestEndings({
+      ...options,
+      deployment: () => this.#deployment,
+      onLate: (view) => this.#health.noteFailure(view.server.id, 'unknown'),
+      onFinished: (request, end) => this.#release(request, end),
+    });
     this.#limits = new ServerLimits({
       ...options,
       self,
@@ -107,14 +124,16 @@
     });
     this.#notices = new ServerNotices({
       ...options,
-      onBlocked: () => undefined,
+      onBlocked: (id) => this.#redispatchFrom(id),
       onChange: options.onSharedChange,
     });
+    this.#access = new ServerAccess({ clock: options.clock, notices: this.#notices.registry });
     this.#limitGate = new LimitGate({
       clock: options.clock,
       limits: this.#limits,
       dispatch: (request) => this.#dispatch(request),
-      refuse: (request, retryAfterMs) => this.#refuse(request, 'server-limit', retryAfterMs),
+      refuse: (request, retryAfterMs) =>
+        this.#endings.refuse(request, 'server-limit', retryAfterMs),
     });
     this.#adapterVersions = new AdapterVersions(options.log);
     this.#hold = new StartupHold(options.clock);
@@ -122,6 +141,9 @@
       ...options,
       engineOf: (service) => this.#deployment?.services.get(service)?.engine,
       onServerChange: (view) => this.#adapterWaits.noteServerChange(view, this.#openRequests),
+      onServerDraining: (server) => {
+        this.#notices.registry.noteLeaving(server, 'record', options.clock.now());
+      },
       onServerRestarted: (id) => this.#limits.noteRestart(id),
       onServerRemoved: (id) => {
         this.#health.forget(id);
@@ -143,31 +165,37 @@
     this.#adapterWaits = new AdapterWaits({
       clock: options.clock,
       minVersionOf: (name) => this.#adapterVersions.minOf(name),
+      isAccessible: (view) => this.#access.blockOf(view) === undefined,
       isOpen: (view) => this.#limits.isOpen(view.server.id),
       send: (request, view) => {
         if (this.#gate.isAdmitted(request)) this.#send(request, view);
       },
       dispatch: (request) => this.#dispatch(request),
-      refuse: (request) => this.#refuse(request, 'load-late', retryDelayMs('load-late')),
+      refuse: (request) => this.#endings.refuse(request, 'load-late', retryDelayMs('load-late')),
     });
     this.#gate = new QuarantineGate({
       clock: options.clock,
       guard: this.#guard,
       dispatch: (request) => this.#dispatch(request),
-      refuse: (request) => this.#refuse(request, 'suspect', retryDelayMs('not-run')),
-      abortResponse: (request) => this.#abortResponse(request),
-      finish: (request, end, reason) => this.#finish(request, end, { reason }),
+      refuse: (request) => this.#endings.refuse(request, 'suspect', retryDelayMs('not-run')),
+      abortResponse: (request) => this.#endings.abortResponse(request),
+      finish: (request, end, reason) => this.#endings.finish(request, end, { reason }),
     });
   }
 
-  /** What crashes servers; shared with the other entries. */
-  get quarantines(): Pick<CrashGuard, 'quarantine' | 'requestQuarantine'> {
-    return this.#guard;
+  /** What the entries tell each other. */
+  get sharedStates(): SharedStates {
+    return {
+      quarantine: this.#guard.quarantine,
+      requests: this.#guard.requestQuarantine,
+      limits: this.#limits.registry,
+      notices: this.#notices.registry,
+    };
   }
 
-  /** The limits of servers, kept together with the other entries. */
-  get limits(): ServerLimits {
-    return this.#limits;
+  /** Issues permits for servers with a limit to the other entries. */
+  get permits(): SharedPermits {
+    return this.#limits.permits;
   }
 
   /** The known backend servers. */
@@ -200,6 +228,7 @@
     this.#cancelTick = this.#options.clock.schedule(TICK_INTERVAL_MS, () => {
       this.#table.tick();
       this.#guard.tick();
+      this.#notices.tick((id) => this.#table.has(id));
       this.#scheduleTick();
     });
   }
@@ -213,7 +242,7 @@
 
   /** Ends all open requests, since the process is about to stop. */
   endOpenRequests(): void {
-    [...this.#openRequests].forEach((request) => this.#giveUp(request, 'stopping'));
+    [...this.#openRequests].forEach((request) => this.#endings.giveUp(request, 'stopping'));
   }
 
   /** Refuses all further requests. */
@@ -263,7 +292,7 @@
   /** Records a request whose caller left before it could be handled. */
   noteCallerGone(caller: CallerRequest): void {
     const { requestId } = decodeRequestHeaders(caller.headers);
-    this.#logEnd(requestId, 'caller-gone', {
+    this.#endings.logEnd(requestId, 'caller-gone', {
       reason: 'not-handled',
       ...describeArrival(caller.arrival),
     });
@@ -282,7 +311,7 @@
       const delayMs = retryDelayMs(this.#isRefusing ? 'leaving' : 'starting');
       const retryAfterMs = jitterRetryAfter(delayMs, head.deadlineMs, this.#options.random);
       respondLocally(caller, 'refused', retryAfterMs);
-      this.#logEnd(head.requestId, 'starting', { isLeaving: this.#isRefusing });
+      this.#endings.logEnd(head.requestId, 'starting', { isLeaving: this.#isRefusing });
       return;
     }
     const route = selectRoute(deployment, head.authority, caller.path);
@@ -290,7 +319,7 @@
     const service = serviceName === undefined ? undefined : deployment.services.get(serviceName);
     if (route === undefined || service === undefined) {
       respondLocally(caller, 'no-route');
-      this.#logEnd(head.requestId, 'no-route', { version: deployment.version });
+      this.#endings.logEnd(head.requestId, 'no-route', { version: deployment.version });
       return;
     }
     const request = openRequest({ caller, head, route, service, acceptedAt });
@@ -298,15 +327,23 @@
     this.#guard.noteArrival(request);
     this.#retryBudgets.of(service.name).noteRequest();
     request.timers.push(
-      clock.schedule(request.deadlineAt - clock.now(), () => this.#expire(request)),
+      clock.schedule(request.deadlineAt - clock.now(), () => this.#endings.expire(request)),
     );
-    caller.response.onDisconnect(() => this.#finish(request, 'caller-gone'));
+    caller.response.onDisconnect(() => this.#endings.finish(request, 'caller-gone'));
     this.#dispatch(request);
   }
 
-  #candidatesOf(service: Service, tried: ReadonlySet<string>): readonly ServerView[] {
+  #candidatesOf(service: Service, tried: ReadonlySet<string>): AccessibleServers {
     const untried = this.#table.viewsOf(service).filter(({ server }) => !tried.has(server.id));
-    return this.#health.preferHealthy(untried);
+    const accessible = this.#access.select(untried);
+    return { ...accessible, open: this.#health.preferHealthy(accessible.open) };
+  }
+
+  /** Chooses again for the requests that wait for a server which gets no more. */
+  #redispatchFrom(serverId: string): void {
+    const view = this.#table.viewOf(serverId);
+    if (view !== undefined) this.#adapterWaits.noteServerChange(view, this.#openRequests);
+    this.#limitGate.noteBlocked(serverId);
   }
 
   /** Chooses a server and sends the request, waits for an adapter, or refuses. */
@@ -317,12 +354,12 @@
     const minVersion = this.#adapterVersions.minOf(modelName);
     const now = this.#options.clock.now();
     if (request.deadlineAt <= now) {
-      this.#expire(request);
+      this.#endings.expire(request);
       return;
     }
     if (!this.#gate.isAdmitted(request)) return;
     const maxWaitMs = maxWaitBeforeSending(request, now);
-    const candidates = this.#candidatesOf(service, request.triedServerIds);
+    const { open: candidates, ...passedOver } = this.#candidatesOf(service, request.triedServerIds);
     const choice = chooseServer(
       {
         ...(modelName === undefined ? {} : { modelName }),
@@ -336,13 +373,18 @@
       },
       candidates,
     );
-    this.#options.log('requestPlaced', describeChoice(request, choice, now, this.#deployment));
+    this.#options.log('requestPlaced', {
+      ...describeChoice(request, choice, now, this.#deployment),
+      ...describeBlocks(passedOver.blocks),
+    });
     if (choice.kind === 'refuse' && this.#hold.isActive && request.triedServerIds.size === 0) {
       this.#hold.recheckLater(() => {
         if (!request.isFinished) this.#dispatch(request);
       });
+    } else if (choice.kind === 'refuse' && passedOver.pauseLeftMs !== undefined) {
+      this.#awaitPauseEnd(request, passedOver.pauseLeftMs, maxWaitMs);
     } else if (choice.kind === 'refuse') {
-      this.#refuse(request, choice.reason, choice.retryAfterMs);
+      this.#endings.refuse(request, choice.reason, choice.retryAfterMs);
     } else if (choice.kind === 'await-permit') {
       if (choice.isBrief) this.#limitGate.holdBriefly(request, choice.views);
       else this.#limitGate.hold(request, choice.views, maxWaitMs);
@@ -357,8 +399,24 @@
     }
   }
 
+  /** Chooses again at the end of a pause, or refuses the request if that is too late for it. */
+  #awaitPauseEnd(request: OpenRequest, pauseLeftMs: Milliseconds, maxWaitMs: Milliseconds): void {
+    const { clock } = this.#options;
+    request.pauseWaitUntil ??= clock.now() + maxWaitMs;
+    if (clock.now() + pauseLeftMs > request.pauseWaitUntil) {
+      this.#endings.refuse(request, 'server-paused', pauseLeftMs);
+      return;
+    }
+    const delayMs = Math.min(pauseLeftMs, PAUSE_RECHECK_MS);
+    request.timers.push(clock.schedule(delayMs, () => this.#dispatch(request)));
+  }
+
   #send(request: OpenRequest, view: ServerView): void {
     const { clock } = this.#options;
+    if (this.#access.blockOf(view) !== undefined) {
+      this.#dispatch(request);
+      return;
+    }
     const { head, caller } = request;
     const { server } = view;
     const now = clock.now();
@@ -370,6 +428,7 @@
     request.isProvenSound = false;
     this.#guard.noteSent(request);
     this.#limits.noteSent(view.server.id);
+    this.#notices.noteSent(server);
     request.isAwaitingFirstByte = true;
     view.awaitingFirstByte += 1;
     this.#table.noteSent(view, head.modelName);
@@ -391,7 +450,7 @@
           this.#health.noteResponse(view.server.id);
           if (isFramed) this.#guard.noteSound(request);
           else this.#guard.noteUnframedEnd(request, view.server);
-          this.#finish(request, 'answered');
+          this.#endings.finish(request, 'answered');
         },
         onFailure: (outcome, detail, isConnectionLost) => {
           if (isConnectionLost) this.#guard.noteLost(request, view.server);
@@ -434,7 +493,7 @@
     });
     request.eventBuffer?.discardPartial();
     if (request.caller.response.hasBegun() && request.eventBuffer === undefined) {
-      this.#abortResponse(request);
+      this.#endings.abortResponse(request);
       return;
     }
     const step = nextStep(outcome, {
@@ -451,80 +510,18 @@
       const delayMs = isConnectionLost ? SETTLE_MS + 1 : 0;
       request.timers.push(clock.schedule(delayMs, () => this.#dispatch(request)));
     } else {
-      this.#giveUp(request, step === 'again' ? 'retry-budget' : outcome);
-    }
-  }
-
-  /** Sends a request its final response, since it will not be sent to a server again. */
-  #giveUp(request: OpenRequest, reason: string): void {
-    if (request.caller.response.hasBegun()) {
-      this.#abortResponse(request);
-    } else if (request.mayHaveRunCount === 0 && request.attempt === undefined) {
-      this.#refuse(request, reason, retryDelayMs('not-run'));
-    } else {
-      respondLocally(request.caller, 'unknown');
-      this.#finish(request, 'unknown', { reason });
+      this.#endings.giveUp(request, step === 'again' ? 'retry-budget' : outcome);
     }
   }
 
-  /** Aborts a response that has started and cannot be completed. */
-  #abortResponse(request: OpenRequest): void {
-    request.caller.response.abort();
-    this.#finish(request, 'broken-off');
-  }
-
-  /** Ends a request whose deadline has passed. */
-  #expire(request: OpenRequest): void {
-    if (request.isFinished) return;
-    if (request.caller.response.hasBegun()) {
-      this.#abortResponse(request);
-    } else if (request.mayHaveRunCount === 0 && request.attempt === undefined) {
-      this.#refuse(request, 'deadline', retryDelayMs('not-run'));
-    } else {
-      if (request.view !== undefined) this.#health.noteFailure(request.view.server.id, 'unknown');
-      respondLocally(request.caller, 'late');
-      this.#finish(request, 'unknown');
-    }
-  }
-
-  #refuse(request: OpenRequest, reason: string, delayMs: Milliseconds): void {
-    if (request.caller.response.hasBegun()) {
-      this.#abortResponse(request);
-      return;
-    }
-    if (request.mayHaveRunCount > 0 && request.route.repeatability === 'once') {
-      respondLocally(request.caller, 'unknown');
-      this.#finish(request, 'unknown', { reason });
-      return;
-    }
-    const { clock, random } = this.#options;
-    const leftMs = request.deadlineAt - clock.now();
-    respondLocally(request.caller, 'refused', jitterRetryAfter(delayMs, leftMs, random));
-    this.#finish(request, 'refused', { reason });
-  }
-
-  #finish(request: OpenRequest, end: RequestEnd, fields: { readonly reason?: string } = {}): void {
-    if (request.isFinished) return;
-    request.isFinished = true;
-    request.timers.forEach((cancel) => cancel());
+  /** Releases what an ended request used. */
+  #release(request: OpenRequest, end: RequestEnd): void {
     this.#openRequests.delete(request);
     this.#limitGate.forget(request);
-    const { view, head, attempt } = request;
     clearAwaitingFirstByte(request);
-    if (attempt !== undefined && view !== undefined) {
-      if (end !== 'answered') attempt.abort();
-      this.#table.noteEnded(view, head.modelName);
-    }
-    const tookMs = this.#options.clock.now() - request.acceptedAt;
-    this.#options.metrics.record('request_ms', tookMs, { route: request.route.name, end });
-    this.#logEnd(head.requestId, end, {
-      ...fields,
-      ...describeEnd(request, tookMs, this.#deployment),
-    });
-  }
-
-  #logEnd(requestId: string, end: RequestEnd, fields: Parameters<Log>[1]): void {
-    this.#options.metrics.count('requests_total', { end });
-    this.#options.log('gatewayRequestEnded', { request: requestId, end, ...fields });
+    const { view, head, attempt } = request;
+    if (attempt === undefined || view === undefined) return;
+    if (end !== 'answered') attempt.abort();
+    this.#table.noteEnded(view, head.modelName);
   }
 }
--- a/tasks/gateway/mod.ts
+++ b/tasks/gateway/mod.ts
@@ -5,9 +5,9 @@
 export type {
   Mirrors,
   PeerTaskOptions,
-  SharedLimits,
   SharedPermits,
-  SharedQuarantine,
+  SharedState,
+  SharedStates,
 } from './peerTask.ts';
 export { StoreTask } from './storeTask.ts';
 export type { RecordStore, StoreTaskOptions } from './storeTask.ts';
--- a/tasks/gateway/peerTask.test.ts
+++ b/tasks/gateway/peerTask.test.ts
@@ -2,6 +2,7 @@
 import { Quarantine, REQUEST_POLICY, SHARED_TRAIT_POLICY } from '../../core/quarantine/mod.ts';
 import { RecordMirror } from '../../core/mirror/mod.ts';
 import { LimitRegistry } from '../../core/serverLimits/mod.ts';
+import { NoticeRegistry } from '../../core/serverNotices/mod.ts';
 import { encodeMessagePack } from '../_decodeChecked.ts';
 import { PeerTask } from './mod.ts';
 import { FakeNetwork } from './testing/fakeNetwork.ts';
@@ -10,6 +11,7 @@
   readonly task: PeerTask;
   readonly mirror: RecordMirror;
   readonly limits: LimitRegistry;
+  readonly notices: NoticeRegistry;
   readonly quarantine: Quarantine;
   readonly requestQuarantine: Quarantine;
 };
@@ -18,6 +20,14 @@
   return new LimitRegistry({ onLimit: () => undefined, onChange: () => undefined });
 }
 
+function createNotices(): NoticeRegistry {
+  return new NoticeRegistry({
+    onLeaving: () => undefined,
+    onPause: () => undefined,
+    onChange: () => undefined,
+  });
+}
+
 const NO_PERMITS = { handleRequest: (): void => undefined };
 
 function createQuarantine(self: string, policy = SHARED_TRAIT_POLICY): Quarantine {
@@ -37,6 +47,7 @@
   const quarantine = createQuarantine(address);
   const requestQuarantine = createQuarantine(address, REQUEST_POLICY);
   const limits = createLimits();
+  const notices = createNotices();
   const task = new PeerTask({
     address,
     seeds,
@@ -44,16 +55,14 @@
     clock: network.clock,
     dial: network.dialFrom(address),
     lagMs: () => address.length,
-    quarantine,
-    requestQuarantine,
-    limits,
+    shared: { quarantine, requests: requestQuarantine, limits, notices },
     permits: NO_PERMITS,
     log: () => undefined,
     onUpdate: (_prefix, update) => mirror.apply(update),
   });
   network.listen(address, task.accept);
   task.start();
-  return { task, mirror, limits, quarantine, requestQuarantine };
+  return { task, mirror, limits, notices, quarantine, requestQuarantine };
 }
 
 describe('PeerTask', () => {
@@ -85,6 +94,31 @@
     });
   });
 
+  [1, 3, 10, 100].forEach((count) => {
+    it(`tells ${count} entries what servers say of themselves, also across restarts and cuts`, () => {
+      const network = new FakeNetwork();
+      const names = Array.from({ length: count }, (_, index) => `e${index}`);
+      const nodes = names.map((name) => startNode(network, name, ['e0']));
+      network.run(6000);
+      const now = (): number => network.clock.now();
+      const leaving = { id: 'i-1', bornAt: 5 };
+      const paused = { id: 'i-2', bornAt: 5 };
+      network.partitioned.add('e2');
+      nodes[count - 1]!.notices.noteLeaving(leaving, 'answer', now());
+      nodes[count - 1]!.notices.notePause(paused, 20_000, now());
+      nodes[count - 1]!.task.pushChanges();
+      network.run(3000);
+      network.partitioned.delete('e2');
+      nodes.push(startNode(network, 'late', ['e0']));
+      network.run(5000);
+      nodes.forEach(({ notices }) => {
+        expect(notices.isLeaving(leaving)).to.equal(true);
+        expect(notices.pauseLeftMs(paused, now())).to.be.within(11_000, 13_000);
+        expect(notices.isLeaving({ ...leaving, bornAt: 6 })).to.equal(false);
+      });
+    });
+  });
+
   it('receives the records that it missed during a network partition', () => {
     const network = new FakeNetwork();
     const nodes = ['a', 'b', 'c'].map((name) => startNode(network, name, ['a']));
@@ -166,9 +200,12 @@
       clock: network.clock,
       dial: network.dialFrom('a'),
       lagMs: () => 0,
-      quarantine,
-      requestQuarantine: createQuarantine('a'),
-      limits,
+      shared: {
+        quarantine,
+        requests: createQuarantine('a'),
+        limits,
+        notices: createNotices(),
+      },
       permits: NO_PERMITS,
       log,
       onUpdate: () => undefined,
@@ -268,9 +305,12 @@
       clock: network.clock,
       dial: network.dialFrom('a'),
       lagMs: () => 0,
-      quarantine: createQuarantine('a'),
-      requestQuarantine: createQuarantine('a'),
-      limits: createLimits(),
+      shared: {
+        quarantine: createQuarantine('a'),
+        requests: createQuarantine('a'),
+        limits: createLimits(),
+        notices: createNotices(),
+      },
       permits: NO_PERMITS,
       log: (event) => events.push(event),
       onUpdate: () => undefined,
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -1,22 +1,39 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { MirrorUpdate, RecordMirror } from '../../core/mirror/mod.ts';
 import { rendezvousOrder } from '../../core/placement/mod.ts';
-import type { Quarantine } from '../../core/quarantine/mod.ts';
-import type { LimitRegistry, Reach } from '../../core/serverLimits/mod.ts';
+import type { Reach } from '../../core/serverLimits/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
 import type { Accept, Dial } from '../ports/mod.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
+import type { DigestMessage } from './_peerMessages.ts';
 import type { PermitTask } from './permitTask.ts';
 
 /** The record mirrors that entries keep in sync, by key prefix. */
 export type Mirrors = ReadonlyMap<string, RecordMirror>;
 
-/** The part of a `Quarantine` that entries share. */
-export type SharedQuarantine = Pick<Quarantine, 'change' | 'updateSince' | 'applyUpdate'>;
+/** The kinds of shared state; each is a field of the digest. */
+const SHARED_KINDS = ['quarantine', 'requests', 'limits', 'notices'] as const;
 
-/** The part of a `LimitRegistry` that entries share. */
-export type SharedLimits = Pick<LimitRegistry, 'change' | 'updateSince' | 'applyUpdate'>;
+type SharedKind = (typeof SHARED_KINDS)[number];
+
+/** State that entries tell each other, as numbered changes. */
+export type SharedState<Update> = {
+  /** Number of the latest change. */
+  readonly change: number;
+  /** Returns what has changed after a change number, or `undefined` if nothing has. */
+  readonly updateSince: (change: number, now: Milliseconds) => Update | undefined;
+  /** Applies what another entry has sent. */
+  readonly applyUpdate: (update: Update, now: Milliseconds) => void;
+};
+
+/**
+ * What the entries tell each other: traits of requests that crash servers, single requests that do, the
+ * limits of servers, and what servers say of themselves.
+ */
+export type SharedStates = {
+  readonly [Kind in SharedKind]: SharedState<NonNullable<DigestMessage[Kind]>>;
+};
 
 /** The part of a `PermitTask` that other entries use. */
 export type SharedPermits = Pick<PermitTask, 'handleRequest'>;
@@ -33,11 +50,7 @@
   readonly log: Log;
   /** Returns the mean event-loop lag of this process. */
   readonly lagMs: () => Milliseconds;
-  /** What requests share that crash servers, and such requests themselves; known to all entries. */
-  readonly quarantine: SharedQuarantine;
-  readonly requestQuarantine: SharedQuarantine;
-  /** The limits that servers name, shared with the other entries. */
-  readonly limits: SharedLimits;
+  readonly shared: SharedStates;
   /** Issues permits to the other entries. */
   readonly permits: SharedPermits;
   /** Called with an update from an entry whose mirror is newer. */
@@ -65,13 +78,9 @@
 const MEMBER_TIMEOUT_MS: Milliseconds = 20_000;
 
 /** Changes of the shared state that the receiver of a digest knows. */
-type SharedChanges = {
-  readonly quarantine: number;
-  readonly requests: number;
-  readonly limits: number;
-};
+type SharedChanges = Readonly<Record<SharedKind, number>>;
 
-const NO_CHANGES: SharedChanges = { quarantine: 0, requests: 0, limits: 0 };
+const NO_CHANGES: SharedChanges = { quarantine: 0, requests: 0, limits: 0, notices: 0 };
 
 /**
  * Gossip between entries: spreads membership, event-loop lags and the newest store records.
@@ -176,11 +185,11 @@
     if (this.#cancelPush !== undefined) return;
     this.#cancelPush = this.#options.clock.schedule(PUSH_DELAY_MS, () => {
       this.#cancelPush = undefined;
-      const { quarantine, requests, limits } = this.#changes;
+      const changes = this.#changes;
       this.#links.addresses
         .filter((address) => {
           const sent = this.#sentChanges.get(address) ?? NO_CHANGES;
-          return sent.quarantine < quarantine || sent.requests < requests || sent.limits < limits;
+          return SHARED_KINDS.some((kind) => sent[kind] < changes[kind]);
         })
         .forEach((address) => this.#sendDigest(address));
     });
@@ -219,17 +228,18 @@
 
   /** Numbers of the latest changes of the shared state. */
   get #changes(): SharedChanges {
-    const { quarantine, requestQuarantine, limits } = this.#options;
+    const { quarantine, requests, limits, notices } = this.#options.shared;
     return {
       quarantine: quarantine.change,
-      requests: requestQuarantine.change,
+      requests: requests.change,
       limits: limits.change,
+      notices: notices.change,
     };
   }
 
   /** Encodes a digest, with what changed in the shared state since the changes that the receiver knows. */
   #digest(known: SharedChanges): Uint8Array {
-    const { address, mirrors, clock, quarantine, requestQuarantine, limits } = this.#options;
+    const { address, mirrors, clock, shared } = this.#options;
     const now = clock.now();
     return encodePeerMessage({
       kind: 'digest',
@@ -239,9 +249,10 @@
         ([member, lastSeenAt]) => [member, now - lastSeenAt] as const,
       ),
       asOf: Object.fromEntries([...mirrors].map(([prefix, mirror]) => [prefix, mirror.asOf])),
-      quarantine: quarantine.updateSince(known.quarantine, now),
-      requests: requestQuarantine.updateSince(known.requests, now),
-      limits: limits.updateSince(known.limits, now),
+      quarantine: shared.quarantine.updateSince(known.quarantine, now),
+      requests: shared.requests.updateSince(known.requests, now),
+      limits: shared.limits.updateSince(known.limits, now),
+      notices: shared.notices.updateSince(known.notices, now),
     });
   }
 
@@ -283,13 +294,15 @@
       const update = mirror.updateSince(message.asOf[prefix]);
       if (update !== undefined) reply(encodePeerMessage({ kind: 'news', prefix, news: update }));
     });
-    if (message.quarantine !== undefined) {
-      this.#options.quarantine.applyUpdate(message.quarantine, now);
-    }
-    if (message.requests !== undefined) {
-      this.#options.requestQuarantine.applyUpdate(message.requests, now);
-    }
-    if (message.limits !== undefined) this.#options.limits.applyUpdate(message.limits, now);
+    SHARED_KINDS.forEach((kind) => this.#applyShared(kind, message[kind], now));
     sendDigest?.();
   }
+
+  #applyShared<Kind extends SharedKind>(
+    kind: Kind,
+    update: DigestMessage[Kind],
+    now: Milliseconds,
+  ): void {
+    if (update !== undefined) this.#options.shared[kind].applyUpdate(update, now);
+  }
 }
