Log the software version of the chosen server and the stream that a request resumes

No line named the software version of a server or said that a request takes a stream up, so hypotheses of where a stream changes its version could not be told apart. Nothing decides by them yet.

--- a/core/dispatch/chooseServer.test.ts
+++ b/core/dispatch/chooseServer.test.ts
@@ -29,6 +29,7 @@
     service: 's',
     address: '10.0.0.1:80',
     availabilityZone: options.availabilityZone ?? 'z1',
+    softwareVersion: 'v1',
     slots: 64,
     state: options.state ?? 'ready',
     holdings: [],
--- a/core/serving/backendServer.ts
+++ b/core/serving/backendServer.ts
@@ -14,6 +14,8 @@
   /** IP address and port. */
   readonly address: string;
   readonly availabilityZone: string;
+  /** Version of its software; empty if unknown. */
+  readonly softwareVersion: string;
   /** Requests that it processes concurrently. */
   readonly slots: number;
   readonly state: 'ready' | 'draining';
--- a/core/serving/serving.test.ts
+++ b/core/serving/serving.test.ts
@@ -23,6 +23,7 @@
     service: 's',
     address: '10.0.0.1:80',
     availabilityZone: 'z',
+    softwareVersion: 'v1',
     slots: 4,
     state,
     holdings: [],
--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -23,6 +23,8 @@
     choice: choice.kind,
     reason: choice.kind === 'refuse' ? choice.reason : undefined,
     server: view?.server.id,
+    softwareVersion: view?.server.softwareVersion,
+    resumes: request.head.resumes,
     adapter: request.head.modelName,
     promptTokens: request.head.promptTokens,
     load: view?.load,
--- a/tasks/gateway/_limitGate.test.ts
+++ b/tasks/gateway/_limitGate.test.ts
@@ -43,6 +43,7 @@
     service: 's',
     address: '10.0.0.1:80',
     availabilityZone: 'z1',
+    softwareVersion: 'v1',
     slots: 8,
     state: 'ready',
     holdings: [],
--- a/tasks/gateway/_serverHealth.test.ts
+++ b/tasks/gateway/_serverHealth.test.ts
@@ -9,6 +9,7 @@
     service: 's',
     address: '10.0.0.1:80',
     availabilityZone: 'z',
+    softwareVersion: 'v1',
     slots: 4,
     state: 'ready',
     holdings: [],
