Add failing tests of streams that change their software version

Three entries, three servers of each of two versions on loopback; callers drop streams after two events and take them up 50 ms later.

--- /dev/null
+++ b/programs/serving/streamVersion.test.ts
@@ -0,0 +1,240 @@
+import { request as httpRequest } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import { startEntryFleet } from './testing/entryFleet.ts';
+import type { EntryFleet, FleetEntry } from './testing/entryFleet.ts';
+
+/** Streams of two software versions that are allowed in all. */
+const MAX_MIXED_STREAMS = 2;
+
+const STREAM_INTERVAL_MS = 10;
+
+/** Time from the end of a stream's connection until its caller takes it up. */
+const RETURN_DELAY_MS = 50;
+
+const STREAM_COUNT = 90;
+
+/** Events after which a caller drops its stream. */
+const DROP_AFTER = 2;
+
+/** What a caller read of a stream. */
+type StreamResult = {
+  readonly status: number;
+  readonly hasRetryAfter: boolean;
+  /** The software versions of the servers that made the events, one each. */
+  readonly versions: readonly string[];
+};
+
+type StreamCall = {
+  readonly id: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** @default Infinity */
+  readonly dropAfter?: number;
+};
+
+/** Reads a stream from an entry until its end, or until the caller drops it. */
+function readStream(entry: FleetEntry, call: StreamCall): Promise<StreamResult> {
+  const { id, headers = {}, dropAfter = Infinity } = call;
+  return new Promise((resolve) => {
+    const versions: string[] = [];
+    let status = 0;
+    let hasRetryAfter = false;
+    const finish = (): void => resolve({ status, hasRetryAfter, versions });
+    const request = httpRequest(
+      {
+        host: '127.0.0.1',
+        port: entry.gateway.callerPort,
+        path: `/long/${id}`,
+        method: 'POST',
+        agent: false,
+        headers: { host: 'house.example', 'x-request-id': id, 'x-deadline-ms': '4000', ...headers },
+      },
+      (response) => {
+        status = response.statusCode ?? 0;
+        hasRetryAfter = response.headers['retry-after'] !== undefined;
+        let text = '';
+        response.on('data', (chunk: Buffer) => {
+          text += chunk.toString('utf8');
+          const events = [...text.matchAll(/data: (.+)\n\n/g)].map(([, version]) => version!);
+          versions.splice(0, Infinity, ...events.slice(0, dropAfter));
+          if (events.length >= dropAfter) request.destroy();
+        });
+        response.on('error', () => undefined);
+        response.once('close', finish);
+      },
+    );
+    request.once('error', finish);
+    request.end();
+  });
+}
+
+/** Whether a stream has events of servers of several software versions. */
+function isMixed(results: readonly StreamResult[]): boolean {
+  return new Set(results.flatMap(({ versions }) => versions)).size > 1;
+}
+
+describe('a stream while servers of two software versions serve', () => {
+  let fleet: EntryFleet;
+
+  beforeEach(async () => {
+    fleet = await startEntryFleet({
+      entries: 3,
+      plainServers: 6,
+      engines: 0,
+      versionOf: (number) => (number < 3 ? 'v1' : 'v2'),
+    });
+    fleet.servers.forEach((server) => {
+      server.fault = 'stream';
+      // Long enough that all servers are in use.
+      server.delayMs = 60;
+      server.eventIntervalMs = 20;
+    });
+  });
+
+  afterEach(async () => {
+    await fleet.close();
+  });
+
+  type Journey = { readonly begun: StreamResult; readonly resumed: StreamResult };
+
+  function takeUp(entry: FleetEntry, id: string): Promise<StreamResult> {
+    const headers = { 'Last-Event-Id': String(DROP_AFTER), Resumes: id };
+    return readStream(entry, { id: `${id}-again`, headers });
+  }
+
+  /** Begins streams at entries, drops them and takes them up at others. */
+  async function play(
+    beginAt: (number: number) => FleetEntry,
+    takeUpAt: (number: number) => FleetEntry,
+    beforeTakingUp: Promise<unknown> = Promise.resolve(),
+  ): Promise<readonly Journey[]> {
+    const journeys: Promise<Journey>[] = [];
+    const travel = async (number: number): Promise<Journey> => {
+      const id = `s${number}`;
+      const begun = await readStream(beginAt(number), { id, dropAfter: DROP_AFTER });
+      await sleep(RETURN_DELAY_MS);
+      await beforeTakingUp;
+      return { begun, resumed: await takeUp(takeUpAt(number), id) };
+    };
+    for (let number = 0; number < STREAM_COUNT; number += 1) {
+      journeys.push(travel(number));
+      await sleep(STREAM_INTERVAL_MS);
+    }
+    return Promise.all(journeys);
+  }
+
+  /** Checks that streams keep their version, and that enough of those that are taken up go on. */
+  function check(journeys: readonly Journey[]): void {
+    const begun = journeys.filter(({ begun: { versions } }) => versions.length === DROP_AFTER);
+    const wentOn = begun.filter(({ resumed: { versions } }) => versions.length > 0);
+    const mixed = begun.filter(({ begun: first, resumed }) => isMixed([first, resumed]));
+    expect(begun.length).to.be.at.least(journeys.length * 0.9);
+    expect(new Set(begun.flatMap(({ begun: { versions } }) => versions))).to.have.property(
+      'size',
+      2,
+    );
+    expect(mixed).to.have.length.at.most(MAX_MIXED_STREAMS);
+    expect(wentOn.length / begun.length).to.be.at.least((0.5 * begun.length) / journeys.length);
+  }
+
+  it('goes on at the version that began it when it is taken up at another entry', async () => {
+    const { entries } = fleet;
+    check(
+      await play(
+        (number) => entries[number % 3]!,
+        (number) => entries[(number + 1) % 3]!,
+      ),
+    );
+  });
+
+  it('goes on at the version that began it when the entry that began it has stopped', async () => {
+    const { entries } = fleet;
+    const hasStopped = sleep(STREAM_COUNT * STREAM_INTERVAL_MS + 300).then(() =>
+      entries[0]!.gateway.leave(),
+    );
+    check(
+      await play(
+        () => entries[0]!,
+        (number) => entries[1 + (number % 2)]!,
+        hasStopped,
+      ),
+    );
+  });
+
+  it('goes on at the version that began it when it is taken up at an entry that has just started', async () => {
+    const { entries } = fleet;
+    const started = sleep(STREAM_COUNT * STREAM_INTERVAL_MS).then(() => fleet.addEntry());
+    const journeys = await play(
+      (number) => entries[number % 3]!,
+      () => entries[3]!,
+      started,
+    );
+    check(journeys);
+  });
+
+  it('goes on at the version that began it within one answer', async () => {
+    fleet.servers.forEach((server) => {
+      server.tornStreams = 6;
+    });
+    const { entries } = fleet;
+    const results: Promise<StreamResult>[] = [];
+    for (let number = 0; number < STREAM_COUNT; number += 1) {
+      results.push(readStream(entries[number % 3]!, { id: `s${number}` }));
+      await sleep(STREAM_INTERVAL_MS);
+    }
+    const streams = await Promise.all(results);
+    expect(streams.filter((stream) => isMixed([stream]))).to.have.length.at.most(MAX_MIXED_STREAMS);
+    const whole = streams.filter(({ versions }) => versions.length === 6);
+    expect(whole).to.have.length.at.least(STREAM_COUNT / 2);
+  });
+
+  it('is refused, to be begun anew, when nobody knows the version that began it', async () => {
+    const results = await Promise.all(
+      fleet.entries.map((entry, index) => takeUp(entry, `unknown-${index}`)),
+    );
+    results.forEach((result) => {
+      expect(result).to.deep.equal({ status: 503, hasRetryAfter: false, versions: [] });
+    });
+  });
+
+  it('is refused, to be begun anew, when no server of its version is left', async () => {
+    const [entry, other] = fleet.entries;
+    const { versions } = await readStream(entry!, { id: 's', dropAfter: DROP_AFTER });
+    const isFirst = versions[0] === 'v1';
+    const left = [0, 1, 2].map((number) => (isFirst ? number : number + 3));
+    left.forEach((number) => fleet.store.removeServer(`i-app-${number}`));
+    await Promise.all(
+      left.map((number) =>
+        other!.logged(
+          ({ event, fields }) =>
+            event === 'serverChanged' &&
+            fields.server === `i-app-${number}` &&
+            fields.change === 'left',
+        ),
+      ),
+    );
+    const result = await takeUp(other!, 's');
+    expect(result).to.deep.equal({ status: 503, hasRetryAfter: false, versions: [] });
+  });
+});
+
+describe('a stream while servers of one software version serve', () => {
+  let fleet: EntryFleet;
+
+  beforeEach(async () => {
+    fleet = await startEntryFleet({ entries: 2, plainServers: 2, engines: 0 });
+    fleet.servers.forEach((server) => {
+      server.fault = 'stream';
+    });
+  });
+
+  afterEach(async () => {
+    await fleet.close();
+  });
+
+  it('goes on although nobody knows who began it', async () => {
+    const headers = { 'Last-Event-Id': '2', Resumes: 'unknown' };
+    const result = await readStream(fleet.entries[0]!, { id: 'r', headers });
+    expect(result.versions).to.deep.equal(['v1', 'v1', 'v1', 'v1']);
+  });
+});
--- a/programs/serving/testing/entryFleet.ts
+++ b/programs/serving/testing/entryFleet.ts
@@ -35,6 +35,8 @@
   readonly plainServers: number;
   /** Number of engines. */
   readonly engines: number;
+  /** Returns the software version of a plain server, which also stands in the events of its streams. @default 'v1' */
+  readonly versionOf?: (number: number) => string;
   /** Grace period for shutting down. @default 200 */
   readonly graceMs?: number;
 };
@@ -66,6 +68,10 @@
   const plainServers = numbers(options.plainServers).map(
     (number) => new BackendServerStandin({ id: `i-app-${number}` }),
   );
+  plainServers.forEach((server, number) => {
+    server.version = options.versionOf?.(number) ?? 'v1';
+    server.eventText = server.version;
+  });
   const servers = [...plainServers, ...engines.map(({ server }) => server)];
   await Promise.all(servers.map((server) => server.listen()));
   store.putDeployment(sampleDeployment());
