Continue a stream only at the software version that began it

What callers saw: streams that were taken up, or continued within one answer, went on at a server of another software version; what two versions write does not fit together. Class: state of a request that outlives its entry was kept in that entry only. Change: an entry tells four others, chosen by the request's id, at which version a stream begins: when it sends the request, before the first event can reach the caller. An entry at which a stream is taken up looks there, and asks them if need be. What nobody knows goes on only if one version can have begun it; else it is refused without Retry-After, to be begun anew. ServerAccess passes over servers of another version, also for a retry within one answer.

--- a/core/serving/deployment.ts
+++ b/core/serving/deployment.ts
@@ -114,3 +114,15 @@
   }
   return route.services.at(-1)?.service;
 }
+
+/** Returns the route of a request and the service that serves it; `undefined` if there is none. */
+export function selectTarget(
+  deployment: Deployment,
+  request: { readonly requestId: string; readonly authority: string },
+  path: string,
+): { readonly route: Route; readonly service: Service } | undefined {
+  const route = selectRoute(deployment, request.authority, path);
+  const name = route === undefined ? undefined : selectService(route, request.requestId);
+  const service = name === undefined ? undefined : deployment.services.get(name);
+  return route === undefined || service === undefined ? undefined : { route, service };
+}
--- a/core/serving/mod.ts
+++ b/core/serving/mod.ts
@@ -1,7 +1,7 @@
 /** Routes, services, engines and the published backend servers. @module */
 export { MAX_CONCURRENT_ADAPTER_LOADS, isAdapter, splitModelName } from './backendServer.ts';
 export type { BackendServer, Holding, ModelName } from './backendServer.ts';
-export { selectRoute, selectService } from './deployment.ts';
+export { selectRoute, selectService, selectTarget } from './deployment.ts';
 export type {
   BaseModel,
   CallerLimits,
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -351,6 +351,12 @@
       'What a backend server says of itself cannot be read; what was known before still holds',
     remedy: 'Correct the header in the backend server',
   },
+  originLookedUp: {
+    number: 'HS8037',
+    level: 'info',
+    message: 'Other entries were asked at which software version a stream began',
+    remedy: 'Without a version: look for the end of the entry that began the stream',
+  },
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
 /** The name of a log event. */
--- a/programs/serving/_startPeers.ts
+++ b/programs/serving/_startPeers.ts
@@ -4,7 +4,7 @@
 import type { Log } from '../../log/mod.ts';
 import type { ProcessSettings, SocketAddress } from '../../platform/mod.ts';
 import { PeerTask } from '../../tasks/gateway/mod.ts';
-import type { Mirrors, SharedPermits, SharedStates } from '../../tasks/gateway/mod.ts';
+import type { Mirrors, PeerServices, SharedStates } from '../../tasks/gateway/mod.ts';
 import { dialWebSocket, listenWebSocket, realClock } from '../../transport/mod.ts';
 import { splitAddress } from './_splitAddress.ts';
 
@@ -30,7 +30,7 @@
   readonly log: Log;
   readonly mirrors: Mirrors;
   readonly shared: SharedStates;
-  readonly permits: SharedPermits;
+  readonly services: PeerServices;
   /** Returns the mean event-loop lag of this process. */
   readonly lagMs: () => Milliseconds;
   /** Called with an update from an entry whose mirror is newer. */
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -105,7 +105,7 @@
     log,
     mirrors: records.mirrors,
     shared: gateway.sharedStates,
-    permits: gateway.permits,
+    services: gateway.peerServices,
     lagMs: () => loadShedding.lagMs,
     onUpdate: (prefix, update) => records.applyPeerUpdate(prefix, update),
   });
--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -9,13 +9,24 @@
 /** Lost requests that the log line of a server's end lists, at most. */
 const MAX_LISTED_REQUESTS = 24;
 
+/** Formats how many servers a choice passes over, by reason; `undefined` for none. */
+function formatBlocks(blocks: ReadonlyMap<string, number>): string | undefined {
+  if (blocks.size === 0) return undefined;
+  return [...blocks].map(([reason, count]) => `${reason}=${count}`).join(' ');
+}
+
 /** Returns the log fields of a routing decision: the choice, its inputs and their age. */
 export function describeChoice(
   request: OpenRequest,
   choice: ServerChoice,
-  now: Milliseconds,
-  deployment: Deployment | undefined,
+  context: {
+    readonly now: Milliseconds;
+    readonly deployment: Deployment | undefined;
+    /** How many servers are passed over, by reason. */
+    readonly blocks: ReadonlyMap<string, number>;
+  },
 ): LogFields {
+  const { now, deployment, blocks } = context;
   const view = 'view' in choice ? choice.view : undefined;
   const keeperReceivedAt = view?.keeper?.receivedAt;
   return {
@@ -30,6 +41,7 @@
     load: view?.load,
     pauseMs: view === undefined ? undefined : Math.round(view.pauseMs(now)),
     usualPauseMs: view === undefined ? undefined : Math.round(view.usualPauseMs),
+    passedOver: formatBlocks(blocks),
     awaited: view?.keeper?.awaited,
     keeperAgeMs: keeperReceivedAt === undefined ? undefined : Math.round(now - keeperReceivedAt),
     leftMs: Math.round(request.deadlineAt - now),
@@ -37,12 +49,6 @@
   };
 }
 
-/** Returns the log field that counts the servers that a choice passed over, by reason. */
-export function describeBlocks(blocks: ReadonlyMap<string, number>): LogFields {
-  if (blocks.size === 0) return {};
-  return { passedOver: [...blocks].map(([reason, count]) => `${reason}=${count}`).join(' ') };
-}
-
 /** Returns the log fields that tell where a request may have waited before it was handled. */
 export function describeArrival(arrival: RequestArrival): LogFields {
   return {
--- a/tasks/gateway/_forwardResponse.ts
+++ b/tasks/gateway/_forwardResponse.ts
@@ -16,6 +16,8 @@
   readonly clock: Clock;
   /** Called with the head of each response, before it is classified. */
   readonly onHead: (status: number, response: ResponseHeaders) => void;
+  /** Called before the response of the attempt begins to reach the caller. */
+  readonly onBegun: () => void;
   /** Called before `onFailure` when no connection to the server could be opened. */
   readonly onUnreachable: () => void;
   /** Called once the response has been written for some time without crashing its server. */
@@ -108,6 +110,7 @@
     clearAwaitingFirstByte(request);
     // A resumed stream keeps the head and the proof of its first server.
     if (caller.response.hasBegun()) return;
+    if (isOk) options.onBegun();
     const { forwardedHeaders } = response;
     caller.response.begin({ status, statusText, headers: forwardedHeaders, isFramed });
   }
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -28,6 +28,8 @@
   mayHaveRunCount: number;
   /** Number of attempts that no server ran. */
   notRunCount: number;
+  /** Software version that began its stream; only servers of this version may continue it. */
+  streamVersion: string | undefined;
   /** The server that processes the request or loads an adapter for it. */
   view: ServerView | undefined;
   attempt: RequestHandle | undefined;
@@ -105,6 +107,7 @@
     triedServerIds: new Set(),
     mayHaveRunCount: 0,
     notRunCount: 0,
+    streamVersion: undefined,
     view: undefined,
     attempt: undefined,
     attemptEpoch: 0,
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -95,6 +95,34 @@
   }),
 });
 
+/** Longest request id that entries tell each other. */
+const MAX_REQUEST_ID_LENGTH = 200;
+
+const streamKeySchema = {
+  service: z.string(),
+  requestId: z.string().check(z.maxLength(MAX_REQUEST_ID_LENGTH)),
+};
+
+/** Where streams began; an empty list shows that the link is alive. */
+const originsSchema = z.object({
+  kind: z.literal('origins'),
+  origins: z.readonly(
+    z.array(z.object({ ...streamKeySchema, version: z.string(), beganBy: z.string() })),
+  ),
+});
+
+const originsReceivedSchema = z.object({ kind: z.literal('origins-received') });
+
+const originQuerySchema = z.object({
+  kind: z.literal('origin-query'),
+  query: z.object({ ...streamKeySchema, number: countSchema }),
+});
+
+const originAnswerSchema = z.object({
+  kind: z.literal('origin-answer'),
+  answer: z.object({ number: countSchema, version: z.optional(z.string()) }),
+});
+
 const digestSchema = z.object({
   kind: z.literal('digest'),
   address: z.string(),
@@ -119,6 +147,10 @@
   z.object({ kind: z.literal('news'), prefix: z.string(), news: updateSchema }),
   permitRequestSchema,
   permitAnswerSchema,
+  originsSchema,
+  originsReceivedSchema,
+  originQuerySchema,
+  originAnswerSchema,
 ]);
 
 /** A gossip message between entries. */
@@ -127,6 +159,12 @@
 /** A digest of what an entry knows. */
 export type DigestMessage = Extract<PeerMessage, { readonly kind: 'digest' }>;
 
+/** What an entry tells or asks another of the origins of streams. */
+export type OriginMessage = Extract<
+  PeerMessage,
+  { readonly kind: 'origins' } | { readonly kind: 'origin-query' }
+>;
+
 /** A request for a permit, as it arrives from another entry. */
 export type PermitRequestMessage = Extract<PeerMessage, { readonly kind: 'permit-request' }>;
 
--- a/tasks/gateway/_serverAccess.ts
+++ b/tasks/gateway/_serverAccess.ts
@@ -9,7 +9,11 @@
   /** It has said that it leaves, to this entry or to another. */
   | 'leaving'
   /** It has asked for a pause, or one request tests whether it takes requests again. */
-  | 'paused';
+  | 'paused'
+  /** It has another software version than the server that began the stream. */
+  | 'version'
+  /** It has failed or refused this request. */
+  | 'tried';
 
 /** Options of `ServerAccess`. */
 export type ServerAccessOptions = {
@@ -17,6 +21,14 @@
   readonly notices: Pick<NoticeRegistry, 'isLeaving' | 'pauseLeftMs'>;
 };
 
+/** A request that is to be sent. */
+type Sendable = {
+  /** Software version that it needs, if it continues a stream. */
+  readonly streamVersion?: string | undefined;
+  /** Servers that failed or refused it. */
+  readonly triedServerIds?: ReadonlySet<string>;
+};
+
 /** The servers that a request may be sent to, and what keeps it from the others. */
 export type AccessibleServers = {
   readonly open: readonly ServerView[];
@@ -24,6 +36,8 @@
   readonly blocks: ReadonlyMap<ServerBlock, number>;
   /** Shortest time until a paused server may be sent a request; `undefined` if none is paused. */
   readonly pauseLeftMs: Milliseconds | undefined;
+  /** Whether no server has the software version that the request needs, so that waiting is of no use. */
+  readonly hasNoVersion: boolean;
 };
 
 /**
@@ -38,27 +52,35 @@
   }
 
   /** Returns why a server must not be sent a request now; `undefined` if it may. */
-  blockOf(view: ServerView): ServerBlock | undefined {
+  blockOf(
+    view: ServerView,
+    { streamVersion, triedServerIds }: Sendable = {},
+  ): ServerBlock | undefined {
     const { clock, notices } = this.#options;
+    const isOtherVersion =
+      streamVersion !== undefined && view.server.softwareVersion !== streamVersion;
+    if (isOtherVersion) return 'version';
+    if (triedServerIds?.has(view.server.id) === true) return 'tried';
     if (!view.isReady) return 'draining';
     if (notices.isLeaving(view.server)) return 'leaving';
     return notices.pauseLeftMs(view.server, clock.now()) > 0 ? 'paused' : undefined;
   }
 
   /** Returns the servers that may be sent a request now, and why the others may not. */
-  select(views: readonly ServerView[]): AccessibleServers {
+  select(views: readonly ServerView[], request: Sendable): AccessibleServers {
     const { clock, notices } = this.#options;
     const open: ServerView[] = [];
     const blocks = new Map<ServerBlock, number>();
     let pauseLeftMs: Milliseconds | undefined;
     views.forEach((view) => {
-      const block = this.blockOf(view);
+      const block = this.blockOf(view, request);
       if (block === undefined) open.push(view);
       else blocks.set(block, (blocks.get(block) ?? 0) + 1);
       if (block !== 'paused') return;
       const leftMs = notices.pauseLeftMs(view.server, clock.now());
       pauseLeftMs = Math.min(pauseLeftMs ?? Infinity, leftMs);
     });
-    return { open, blocks, pauseLeftMs };
+    const hasNoVersion = views.length > 0 && blocks.get('version') === views.length;
+    return { open, blocks, pauseLeftMs, hasNoVersion };
   }
 }
--- a/tasks/gateway/_serverNotices.ts
+++ b/tasks/gateway/_serverNotices.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import { NoticeRegistry } from '../../core/serverNotices/mod.ts';
 import type { ServerStart } from '../../core/serverNotices/mod.ts';
+import type { BackendServer } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { ResponseHeaders } from '../../platform/mod.ts';
@@ -46,6 +47,12 @@
     metrics.gauge('leaving_servers', () => this.registry.leavingCount);
   }
 
+  /** Records that a server is listed; one that drains leaves for good. */
+  noteRecord(server: BackendServer): void {
+    if (server.state !== 'draining') return;
+    this.registry.noteLeaving(server, 'record', this.#options.clock.now());
+  }
+
   /** Records that a request is sent to a server. */
   noteSent(server: ServerStart): void {
     this.registry.noteSent(server, this.#options.clock.now());
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -27,8 +27,8 @@
   readonly engineOf: (service: string) => Engine | undefined;
   /** Called when a server's state changes, so that requests waiting for it can be dispatched. */
   readonly onServerChange: (view: ServerView) => void;
-  /** Called with each record of a server that drains. */
-  readonly onServerDraining: (server: BackendServer) => void;
+  /** Called with each record of a server. */
+  readonly onServerRecord: (server: BackendServer) => void;
   /** Called when a server has started again under its id. */
   readonly onServerRestarted: (id: string) => void;
   /** Called when a server has been removed. */
@@ -84,6 +84,11 @@
     return this.#views.get(id);
   }
 
+  /** All known servers. */
+  get servers(): readonly BackendServer[] {
+    return [...this.#views.values()].map(({ server }) => server);
+  }
+
   /** Returns the servers of a service. */
   viewsOf(service: Service): readonly ServerView[] {
     return [...this.#views.values()].filter(({ server }) => server.service === service.name);
@@ -113,7 +118,7 @@
     this.#updateRecord(server);
     const change = this.#fleet.put(server);
     if (change !== undefined) this.#applyChange(change);
-    if (server.state === 'draining') this.#options.onServerDraining(server);
+    this.#options.onServerRecord(server);
   }
 
   /**
--- /dev/null
+++ b/tasks/gateway/_streamVersions.ts
@@ -0,0 +1,132 @@
+import type { Clock } from '../../core/clock/mod.ts';
+import type { BackendServer } from '../../core/serving/mod.ts';
+import { VersionHistory } from '../../core/streamOrigins/mod.ts';
+import type { StreamKey } from '../../core/streamOrigins/mod.ts';
+import type { Log } from '../../log/mod.ts';
+import type { Metrics } from '../../metrics/mod.ts';
+import type { Dial } from '../ports/mod.ts';
+import type { OpenRequest } from './_openRequest.ts';
+import { OriginTask } from './originTask.ts';
+
+/** Options of `StreamVersions`. */
+export type StreamVersionsOptions = {
+  readonly clock: Clock;
+  readonly dial: Dial;
+  readonly log: Log;
+  readonly metrics: Metrics;
+  /** Name of this entry among its peers. */
+  readonly self: string;
+  /** Unique id of this process; new at each start. */
+  readonly incarnation: string;
+  /** Returns the names of the other live entries. */
+  readonly peers: () => readonly string[];
+  /** Chooses a server for a request and sends it. */
+  readonly dispatch: (request: OpenRequest) => void;
+  /** Refuses a request that must be begun anew. */
+  readonly refuse: (request: OpenRequest) => void;
+};
+
+function keyOf({ service }: OpenRequest, requestId: string): StreamKey {
+  return { service: service.name, requestId };
+}
+
+function nameOf({ service, requestId }: StreamKey): string {
+  return `${service} ${requestId}`;
+}
+
+/** Keeps each stream at the software version that began it, since versions cannot continue each other's. */
+export class StreamVersions {
+  readonly origins: OriginTask;
+
+  readonly #options: StreamVersionsOptions;
+
+  readonly #history: VersionHistory;
+
+  /** The requests that wait for the origin of a stream, by its name. */
+  readonly #waiting = new Map<string, Set<OpenRequest>>();
+
+  constructor(options: StreamVersionsOptions) {
+    this.#options = options;
+    this.#history = new VersionHistory(options.clock.now());
+    this.origins = new OriginTask({
+      ...options,
+      onResult: (key, version) => this.#handleResult(key, version),
+    });
+  }
+
+  /** Records that a server is listed; call it with each record, and several times a second. */
+  noteServer({ service, softwareVersion }: BackendServer): void {
+    this.#history.note(service, softwareVersion, this.#options.clock.now());
+  }
+
+  /**
+   * Tells whether the version at which a request must run is known, or may be any; if not, asks the other
+   * entries, and dispatches or refuses the request later.
+   */
+  isKnown(request: OpenRequest): boolean {
+    const { head, service, streamVersion } = request;
+    const { resumes, lastEventId } = head;
+    if (streamVersion !== undefined || (resumes === undefined && lastEventId === undefined)) {
+      return true;
+    }
+    const { clock, refuse } = this.#options;
+    const key = keyOf(request, resumes ?? '');
+    const onlyVersion = this.#history.onlyVersionOf(service.name, clock.now());
+    // A process that has just started may have missed a version whose servers have left.
+    const isCertain = resumes === undefined || this.#history.isComplete(clock.now());
+    const version = this.origins.versionOf(key) ?? (isCertain ? onlyVersion : undefined);
+    if (version !== undefined) {
+      request.streamVersion = version;
+      return true;
+    }
+    if (resumes === undefined) refuse(request);
+    else this.#await(request, key);
+    return false;
+  }
+
+  /** Records that a request is sent to a server, at whose version its stream may begin. */
+  noteSent(request: OpenRequest, { softwareVersion }: BackendServer): void {
+    const { head, route, streamVersion } = request;
+    if (route.repeatability !== 'resumable' || streamVersion !== undefined) return;
+    this.origins.note({
+      ...keyOf(request, head.requestId),
+      version: softwareVersion,
+      beganBy: this.#options.incarnation,
+    });
+  }
+
+  /** Records that the response of a server begins to reach the caller. */
+  noteBegun(request: OpenRequest, { softwareVersion }: BackendServer): void {
+    if (!request.route.isStream) return;
+    request.streamVersion ??= softwareVersion;
+    this.origins.flush();
+  }
+
+  #await(request: OpenRequest, key: StreamKey): void {
+    const name = nameOf(key);
+    const waiting = this.#waiting.get(name);
+    if (waiting !== undefined) {
+      waiting.add(request);
+      return;
+    }
+    this.#waiting.set(name, new Set([request]));
+    this.origins.lookUp(key);
+  }
+
+  #handleResult(key: StreamKey, found: string | undefined): void {
+    const { dispatch, refuse, clock, log, metrics } = this.#options;
+    const name = nameOf(key);
+    const version = found ?? this.#history.onlyVersionOf(key.service, clock.now());
+    const requests = this.#waiting.get(name) ?? new Set();
+    this.#waiting.delete(name);
+    const result = found === undefined ? 'unknown' : 'known';
+    metrics.count('origin_lookups_total', { result });
+    requests.forEach((request) => {
+      if (request.isFinished) return;
+      log('originLookedUp', { request: request.head.requestId, resumes: key.requestId, version });
+      request.streamVersion = version;
+      if (version === undefined) refuse(request);
+      else dispatch(request);
+    });
+  }
+}
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -2,8 +2,8 @@
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import { chooseServer, MISDIRECTED_STATUS, nextStep } from '../../core/dispatch/mod.ts';
 import type { AttemptOutcome, ServerView } from '../../core/dispatch/mod.ts';
-import { selectRoute, selectService } from '../../core/serving/mod.ts';
-import type { Deployment, ModelName, Service } from '../../core/serving/mod.ts';
+import { selectTarget } from '../../core/serving/mod.ts';
+import type { Deployment, ModelName } from '../../core/serving/mod.ts';
 import type { Reach } from '../../core/serverLimits/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
@@ -14,14 +14,15 @@
 import { respondLocally } from './_respondLocally.ts';
 import { scheduleAttemptTimeout } from './_attemptTimeout.ts';
 import { CrashGuard } from './_crashGuard.ts';
-import { describeArrival, describeBlocks, describeChoice } from './_describeRequest.ts';
+import { describeArrival, describeChoice } from './_describeRequest.ts';
 import { maxWaitBeforeSending, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
 import { clearAwaitingFirstByte, forwardResponse } from './_forwardResponse.ts';
 import { LimitGate } from './_limitGate.ts';
 import { outboundRequest } from './_outboundRequest.ts';
+import { PauseWaits } from './_pauseWaits.ts';
 import { QuarantineGate } from './_quarantineGate.ts';
-import type { SharedPermits, SharedStates } from './peerTask.ts';
+import type { PeerServices, SharedStates } from './peerTask.ts';
 import { jitterRetryAfter, retryDelayMs } from './_retryAfter.ts';
 import { RequestEndings } from './_requestEndings.ts';
 import { RetryBudgets } from './_retryBudgets.ts';
@@ -34,6 +35,7 @@
 import { ServerNotices } from './_serverNotices.ts';
 import { ServerTable } from './_serverTable.ts';
 import { StartupHold } from './_startupHold.ts';
+import { StreamVersions } from './_streamVersions.ts';
 
 /** Options of `Gateway`. */
 export type GatewayOptions = RetryBudgetsOptions & {
@@ -59,9 +61,6 @@
   readonly random: () => number;
 };
 
-/** Longest interval at which a request that waits for the end of a pause is dispatched again. */
-const PAUSE_RECHECK_MS: Milliseconds = 50;
-
 /** Interval at which silent keepers and expired servers are detected. */
 const TICK_INTERVAL_MS: Milliseconds = 150;
 
@@ -85,6 +84,8 @@
 
   readonly #limitGate: LimitGate;
 
+  readonly #pauseWaits: PauseWaits;
+
   readonly #adapterWaits: AdapterWaits;
 
   readonly #guard: CrashGuard;
@@ -93,6 +94,8 @@
 
   readonly #adapterVersions: AdapterVersions;
 
+  readonly #streamVersions: StreamVersions;
+
   readonly #openRequests = new Set<OpenRequest>();
 
   readonly #endings: RequestEndings;
@@ -105,7 +108,15 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    const self = options.peerName ?? options.entryId;
+    const common = {
+      ...options,
+      self: options.peerName ?? options.entryId,
+      incarnation: options.entryId,
+      peers: options.peerNames,
+      reach: options.peerReach,
+      onChange: options.onSharedChange,
+      dispatch: (request: OpenRequest): void => this.#dispatch(request),
+    };
     this.#retryBudgets = new RetryBudgets(options);
     this.#health = new ServerHealth(options.clock);
     this.#endings = new RequestEndings({
@@ -115,34 +126,33 @@
       onFinished: (request, end) => this.#release(request, end),
     });
     this.#limits = new ServerLimits({
-      ...options,
-      self,
-      peers: options.peerNames,
-      reach: options.peerReach,
+      ...common,
       onAnswer: ({ server }) => this.#limitGate.noteAnswer(server),
-      onChange: options.onSharedChange,
     });
     this.#notices = new ServerNotices({
-      ...options,
+      ...common,
       onBlocked: (id) => this.#redispatchFrom(id),
-      onChange: options.onSharedChange,
     });
     this.#access = new ServerAccess({ clock: options.clock, notices: this.#notices.registry });
     this.#limitGate = new LimitGate({
-      clock: options.clock,
+      ...common,
       limits: this.#limits,
-      dispatch: (request) => this.#dispatch(request),
       refuse: (request, retryAfterMs) =>
         this.#endings.refuse(request, 'server-limit', retryAfterMs),
     });
     this.#adapterVersions = new AdapterVersions(options.log);
+    this.#streamVersions = new StreamVersions({
+      ...common,
+      refuse: (request) => this.#endings.refuse(request, 'origin-unknown', undefined),
+    });
     this.#hold = new StartupHold(options.clock);
     this.#table = new ServerTable({
       ...options,
       engineOf: (service) => this.#deployment?.services.get(service)?.engine,
       onServerChange: (view) => this.#adapterWaits.noteServerChange(view, this.#openRequests),
-      onServerDraining: (server) => {
-        this.#notices.registry.noteLeaving(server, 'record', options.clock.now());
+      onServerRecord: (server) => {
+        this.#notices.noteRecord(server);
+        this.#streamVersions.noteServer(server);
       },
       onServerRestarted: (id) => this.#limits.noteRestart(id),
       onServerRemoved: (id) => {
@@ -152,31 +162,30 @@
       },
     });
     this.#guard = new CrashGuard({
-      ...options,
-      self,
-      incarnation: options.entryId,
-      peers: options.peerNames,
+      ...common,
       openRequests: this.#openRequests,
       hasOpenSince: (server, time) => this.#table.connectionsOf(server).hasOpenSince(time),
       onServerEnd: (id) => this.#health.noteUnreachable(id),
       onQuarantined: (trait) => this.#gate.rejectAll(trait, this.#openRequests),
-      onChange: options.onSharedChange,
     });
     this.#adapterWaits = new AdapterWaits({
-      clock: options.clock,
+      ...common,
       minVersionOf: (name) => this.#adapterVersions.minOf(name),
       isAccessible: (view) => this.#access.blockOf(view) === undefined,
       isOpen: (view) => this.#limits.isOpen(view.server.id),
       send: (request, view) => {
         if (this.#gate.isAdmitted(request)) this.#send(request, view);
       },
-      dispatch: (request) => this.#dispatch(request),
       refuse: (request) => this.#endings.refuse(request, 'load-late', retryDelayMs('load-late')),
     });
+    this.#pauseWaits = new PauseWaits({
+      ...common,
+      refuse: (request, retryAfterMs) =>
+        this.#endings.refuse(request, 'server-paused', retryAfterMs),
+    });
     this.#gate = new QuarantineGate({
-      clock: options.clock,
+      ...common,
       guard: this.#guard,
-      dispatch: (request) => this.#dispatch(request),
       refuse: (request) => this.#endings.refuse(request, 'suspect', retryDelayMs('not-run')),
       abortResponse: (request) => this.#endings.abortResponse(request),
       finish: (request, end, reason) => this.#endings.finish(request, end, { reason }),
@@ -193,9 +202,9 @@
     };
   }
 
-  /** Issues permits for servers with a limit to the other entries. */
-  get permits(): SharedPermits {
-    return this.#limits.permits;
+  /** What the other entries ask this one for. */
+  get peerServices(): PeerServices {
+    return { permits: this.#limits.permits, origins: this.#streamVersions.origins };
   }
 
   /** The known backend servers. */
@@ -221,6 +230,7 @@
   /** Starts to monitor keepers and servers. */
   start(): void {
     this.#limits.permits.start();
+    this.#streamVersions.origins.start();
     this.#scheduleTick();
   }
 
@@ -229,6 +239,7 @@
       this.#table.tick();
       this.#guard.tick();
       this.#notices.tick((id) => this.#table.has(id));
+      this.#table.servers.forEach((server) => this.#streamVersions.noteServer(server));
       this.#scheduleTick();
     });
   }
@@ -237,6 +248,7 @@
   close(): void {
     this.#cancelTick?.();
     this.#limits.permits.close();
+    this.#streamVersions.origins.close();
     this.#table.close();
   }
 
@@ -314,18 +326,16 @@
       this.#endings.logEnd(head.requestId, 'starting', { isLeaving: this.#isRefusing });
       return;
     }
-    const route = selectRoute(deployment, head.authority, caller.path);
-    const serviceName = route === undefined ? undefined : selectService(route, head.requestId);
-    const service = serviceName === undefined ? undefined : deployment.services.get(serviceName);
-    if (route === undefined || service === undefined) {
+    const target = selectTarget(deployment, head, caller.path);
+    if (target === undefined) {
       respondLocally(caller, 'no-route');
       this.#endings.logEnd(head.requestId, 'no-route', { version: deployment.version });
       return;
     }
-    const request = openRequest({ caller, head, route, service, acceptedAt });
+    const request = openRequest({ caller, head, ...target, acceptedAt });
     this.#openRequests.add(request);
     this.#guard.noteArrival(request);
-    this.#retryBudgets.of(service.name).noteRequest();
+    this.#retryBudgets.of(target.service.name).noteRequest();
     request.timers.push(
       clock.schedule(request.deadlineAt - clock.now(), () => this.#endings.expire(request)),
     );
@@ -333,9 +343,8 @@
     this.#dispatch(request);
   }
 
-  #candidatesOf(service: Service, tried: ReadonlySet<string>): AccessibleServers {
-    const untried = this.#table.viewsOf(service).filter(({ server }) => !tried.has(server.id));
-    const accessible = this.#access.select(untried);
+  #candidatesOf(request: OpenRequest): AccessibleServers {
+    const accessible = this.#access.select(this.#table.viewsOf(request.service), request);
     return { ...accessible, open: this.#health.preferHealthy(accessible.open) };
   }
 
@@ -357,9 +366,9 @@
       this.#endings.expire(request);
       return;
     }
-    if (!this.#gate.isAdmitted(request)) return;
+    if (!this.#streamVersions.isKnown(request) || !this.#gate.isAdmitted(request)) return;
     const maxWaitMs = maxWaitBeforeSending(request, now);
-    const { open: candidates, ...passedOver } = this.#candidatesOf(service, request.triedServerIds);
+    const { open: candidates, ...passedOver } = this.#candidatesOf(request);
     const choice = chooseServer(
       {
         ...(modelName === undefined ? {} : { modelName }),
@@ -373,16 +382,17 @@
       },
       candidates,
     );
-    this.#options.log('requestPlaced', {
-      ...describeChoice(request, choice, now, this.#deployment),
-      ...describeBlocks(passedOver.blocks),
-    });
+    const { blocks } = passedOver;
+    const described = { now, blocks, deployment: this.#deployment };
+    this.#options.log('requestPlaced', describeChoice(request, choice, described));
     if (choice.kind === 'refuse' && this.#hold.isActive && request.triedServerIds.size === 0) {
       this.#hold.recheckLater(() => {
         if (!request.isFinished) this.#dispatch(request);
       });
+    } else if (choice.kind === 'refuse' && passedOver.hasNoVersion) {
+      this.#endings.refuse(request, 'no-version', undefined);
     } else if (choice.kind === 'refuse' && passedOver.pauseLeftMs !== undefined) {
-      this.#awaitPauseEnd(request, passedOver.pauseLeftMs, maxWaitMs);
+      this.#pauseWaits.hold(request, passedOver.pauseLeftMs, maxWaitMs);
     } else if (choice.kind === 'refuse') {
       this.#endings.refuse(request, choice.reason, choice.retryAfterMs);
     } else if (choice.kind === 'await-permit') {
@@ -399,21 +409,9 @@
     }
   }
 
-  /** Chooses again at the end of a pause, or refuses the request if that is too late for it. */
-  #awaitPauseEnd(request: OpenRequest, pauseLeftMs: Milliseconds, maxWaitMs: Milliseconds): void {
-    const { clock } = this.#options;
-    request.pauseWaitUntil ??= clock.now() + maxWaitMs;
-    if (clock.now() + pauseLeftMs > request.pauseWaitUntil) {
-      this.#endings.refuse(request, 'server-paused', pauseLeftMs);
-      return;
-    }
-    const delayMs = Math.min(pauseLeftMs, PAUSE_RECHECK_MS);
-    request.timers.push(clock.schedule(delayMs, () => this.#dispatch(request)));
-  }
-
   #send(request: OpenRequest, view: ServerView): void {
     const { clock } = this.#options;
-    if (this.#access.blockOf(view) !== undefined) {
+    if (this.#access.blockOf(view, request) !== undefined) {
       this.#dispatch(request);
       return;
     }
@@ -429,6 +427,7 @@
     this.#guard.noteSent(request);
     this.#limits.noteSent(view.server.id);
     this.#notices.noteSent(server);
+    this.#streamVersions.noteSent(request, server);
     request.isAwaitingFirstByte = true;
     view.awaitingFirstByte += 1;
     this.#table.noteSent(view, head.modelName);
@@ -443,6 +442,7 @@
           if (status !== MISDIRECTED_STATUS || head.modelName === undefined) return;
           view.noteMissing(head.modelName, clock.now());
         },
+        onBegun: () => this.#streamVersions.noteBegun(request, server),
         onUnreachable: () => this.#health.noteUnreachable(view.server.id),
         onProvenSound: () => this.#guard.noteSound(request),
         onComplete: (isFramed) => {
--- a/tasks/gateway/mod.ts
+++ b/tasks/gateway/mod.ts
@@ -4,8 +4,8 @@
 export { PeerTask } from './peerTask.ts';
 export type {
   Mirrors,
+  PeerServices,
   PeerTaskOptions,
-  SharedPermits,
   SharedState,
   SharedStates,
 } from './peerTask.ts';
--- a/tasks/gateway/peerTask.test.ts
+++ b/tasks/gateway/peerTask.test.ts
@@ -28,7 +28,10 @@
   });
 }
 
-const NO_PERMITS = { handleRequest: (): void => undefined };
+const NO_SERVICES = {
+  permits: { handleRequest: (): void => undefined },
+  origins: { handleMessage: (): void => undefined },
+};
 
 function createQuarantine(self: string, policy = SHARED_TRAIT_POLICY): Quarantine {
   return new Quarantine({
@@ -56,7 +59,7 @@
     dial: network.dialFrom(address),
     lagMs: () => address.length,
     shared: { quarantine, requests: requestQuarantine, limits, notices },
-    permits: NO_PERMITS,
+    services: NO_SERVICES,
     log: () => undefined,
     onUpdate: (_prefix, update) => mirror.apply(update),
   });
@@ -206,7 +209,7 @@
         limits,
         notices: createNotices(),
       },
-      permits: NO_PERMITS,
+      services: NO_SERVICES,
       log,
       onUpdate: () => undefined,
     });
@@ -311,7 +314,7 @@
         limits: createLimits(),
         notices: createNotices(),
       },
-      permits: NO_PERMITS,
+      services: NO_SERVICES,
       log: (event) => events.push(event),
       onUpdate: () => undefined,
     });
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -7,6 +7,7 @@
 import type { Accept, Dial } from '../ports/mod.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
 import type { DigestMessage } from './_peerMessages.ts';
+import type { OriginTask } from './originTask.ts';
 import type { PermitTask } from './permitTask.ts';
 
 /** The record mirrors that entries keep in sync, by key prefix. */
@@ -35,8 +36,11 @@
   readonly [Kind in SharedKind]: SharedState<NonNullable<DigestMessage[Kind]>>;
 };
 
-/** The part of a `PermitTask` that other entries use. */
-export type SharedPermits = Pick<PermitTask, 'handleRequest'>;
+/** What other entries ask an entry for: permits for servers with a limit, and the origins of streams. */
+export type PeerServices = {
+  readonly permits: Pick<PermitTask, 'handleRequest'>;
+  readonly origins: Pick<OriginTask, 'handleMessage'>;
+};
 
 /** Options of `PeerTask`. */
 export type PeerTaskOptions = {
@@ -51,8 +55,7 @@
   /** Returns the mean event-loop lag of this process. */
   readonly lagMs: () => Milliseconds;
   readonly shared: SharedStates;
-  /** Issues permits to the other entries. */
-  readonly permits: SharedPermits;
+  readonly services: PeerServices;
   /** Called with an update from an entry whose mirror is newer. */
   readonly onUpdate: (prefix: string, update: MirrorUpdate) => void;
 };
@@ -272,10 +275,14 @@
       return;
     }
     if (message.kind === 'permit-request') {
-      this.#options.permits.handleRequest(message, reply);
+      this.#options.services.permits.handleRequest(message, reply);
+      return;
+    }
+    if (message.kind === 'origins' || message.kind === 'origin-query') {
+      this.#options.services.origins.handleMessage(message, reply);
       return;
     }
-    if (message.kind === 'permit-answer') {
+    if (message.kind !== 'digest') {
       this.#options.log('messageUnreadable', { from: 'an entry', bytes: bytes.length });
       return;
     }
