--- a/programs/serving/streamVersion.test.ts
+++ b/programs/serving/streamVersion.test.ts
@@ -1,8 +1,9 @@
-import { request as httpRequest } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import { startEntryFleet } from './testing/entryFleet.ts';
 import type { EntryFleet, FleetEntry } from './testing/entryFleet.ts';
+import { readStream } from './testing/readStream.ts';
+import type { StreamResult } from './testing/readStream.ts';
 
 /** Streams of two software versions that are allowed in all. */
 const MAX_MIXED_STREAMS = 2;
@@ -17,57 +18,6 @@
 /** Events after which a caller drops its stream. */
 const DROP_AFTER = 2;
 
-/** What a caller read of a stream. */
-type StreamResult = {
-  readonly status: number;
-  readonly hasRetryAfter: boolean;
-  /** The software versions of the servers that made the events, one each. */
-  readonly versions: readonly string[];
-};
-
-type StreamCall = {
-  readonly id: string;
-  readonly headers?: Readonly<Record<string, string>>;
-  /** @default Infinity */
-  readonly dropAfter?: number;
-};
-
-/** Reads a stream from an entry until its end, or until the caller drops it. */
-function readStream(entry: FleetEntry, call: StreamCall): Promise<StreamResult> {
-  const { id, headers = {}, dropAfter = Infinity } = call;
-  return new Promise((resolve) => {
-    const versions: string[] = [];
-    let status = 0;
-    let hasRetryAfter = false;
-    const finish = (): void => resolve({ status, hasRetryAfter, versions });
-    const request = httpRequest(
-      {
-        host: '127.0.0.1',
-        port: entry.gateway.callerPort,
-        path: `/long/${id}`,
-        method: 'POST',
-        agent: false,
-        headers: { host: 'house.example', 'x-request-id': id, 'x-deadline-ms': '4000', ...headers },
-      },
-      (response) => {
-        status = response.statusCode ?? 0;
-        hasRetryAfter = response.headers['retry-after'] !== undefined;
-        let text = '';
-        response.on('data', (chunk: Buffer) => {
-          text += chunk.toString('utf8');
-          const events = [...text.matchAll(/data: (.+)\n\n/g)].map(([, version]) => version!);
-          versions.splice(0, Infinity, ...events.slice(0, dropAfter));
-          if (events.length >= dropAfter) request.destroy();
-        });
-        response.on('error', () => undefined);
-        response.once('close', finish);
-      },
-    );
-    request.once('error', finish);
-    request.end();
-  });
-}
-
 /** Whether a stream has events of servers of several software versions. */
 function isMixed(results: readonly StreamResult[]): boolean {
   return new Set(results.flatMap(({ versions }) => versions)).size > 1;
@@ -193,7 +143,12 @@
       fleet.entries.map((entry, index) => takeUp(entry, `unknown-${index}`)),
     );
     results.forEach((result) => {
-      expect(result).to.deep.equal({ status: 503, hasRetryAfter: false, versions: [] });
+      expect(result).to.deep.equal({
+        status: 503,
+        hasRetryAfter: false,
+        eventIds: [],
+        versions: [],
+      });
     });
   });
 
@@ -214,7 +169,7 @@
       ),
     );
     const result = await takeUp(other!, 's');
-    expect(result).to.deep.equal({ status: 503, hasRetryAfter: false, versions: [] });
+    expect(result).to.deep.equal({ status: 503, hasRetryAfter: false, eventIds: [], versions: [] });
   });
 });
 
--- a/programs/serving/testing/servingWorld.ts
+++ b/programs/serving/testing/servingWorld.ts
@@ -23,7 +23,12 @@
 };
 
 /** One line of the log. */
-export type LogLine = { readonly event: LogEventName; readonly fields: LogFields };
+export type LogLine = {
+  readonly event: LogEventName;
+  readonly fields: LogFields;
+  /** When it was logged, on the clock of `performance.now`. */
+  readonly at: number;
+};
 
 /** The processes and stand-ins of one test, on loopback. */
 export type ServingWorld = {
@@ -76,7 +81,7 @@
   const lines: LogLine[] = [];
   const emitter = new EventEmitter();
   const log: Log = (event, fields = {}) => {
-    lines.push({ event, fields });
+    lines.push({ event, fields, at: performance.now() });
     emitter.emit('line');
   };
   const logged: ServingWorld['logged'] = async (matches) => {
