Give entries of a test fleet the addresses of all earlier ones as seeds

Cause, by its log: all 231 refusals were origin-unknown, for streams begun by entries that had started after the first entry had stopped; that was their only seed, so that they knew nobody to tell. The users' platform names several seeds. Change: an entry that starts gets the addresses of all earlier ones.

--- a/programs/serving/testing/entryFleet.ts
+++ b/programs/serving/testing/entryFleet.ts
@@ -46,10 +46,14 @@
 }
 
 /** Starts a gateway; tries another port when the one for gossip was taken in the meantime. */
-async function startOnFreePort(settings: ProcessSettings, log: Log): Promise<ServingProcess> {
+async function startOnFreePort(
+  settings: ProcessSettings,
+  log: Log,
+): Promise<{ readonly gateway: ServingProcess; readonly peerAddress: string }> {
   for (;;) {
+    const peerAddress = `127.0.0.1:${await freePort()}`;
     try {
-      return await startGateway({ ...settings, peerAddress: `127.0.0.1:${await freePort()}` }, log);
+      return { gateway: await startGateway({ ...settings, peerAddress }, log), peerAddress };
     } catch (error) {
       if (!isAddressInUse(error)) throw error;
     }
@@ -100,13 +104,24 @@
     }),
   );
   const entries: FleetEntry[] = [];
+  const peerAddresses: string[] = [];
   const addEntry = async (): Promise<FleetEntry> => {
     const { lines, log, logged } = collectLog();
-    const settings = { ...shared, host: `e${entries.length}`, ip: '127.0.0.1' };
-    const gateway =
+    // The first seed may have stopped by now.
+    const settings = {
+      ...shared,
+      host: `e${entries.length}`,
+      ip: '127.0.0.1',
+      seeds: [...peerAddresses],
+    };
+    const { gateway, peerAddress } =
       entries.length === 0
-        ? await startGateway({ ...settings, peerAddress: seed }, log)
+        ? {
+            gateway: await startGateway({ ...settings, peerAddress: seed }, log),
+            peerAddress: seed,
+          }
         : await startOnFreePort(settings, log);
+    peerAddresses.push(peerAddress);
     const entry: FleetEntry = {
       gateway,
       lines,
