--- a/tasks/gateway/_serverAccess.test.ts
+++ b/tasks/gateway/_serverAccess.test.ts
@@ -47,4 +47,25 @@
     ]);
     expect(pauseLeftMs).to.equal(400);
   });
+
+  it('passes over servers of another software version, and tells when there is no other', () => {
+    const { access } = createAccess();
+    const views = [createView('old-1'), createView('new-1'), createView('new-2')];
+    const selected = access.select(views, { streamVersion: 'v2' });
+    expect(selected.open.map(({ server }) => server.id)).to.deep.equal(['new-1', 'new-2']);
+    expect(selected.hasNoVersion).to.equal(false);
+    expect(access.select(views, { streamVersion: 'v3' }).hasNoVersion).to.equal(true);
+    expect(access.select([], { streamVersion: 'v3' }).hasNoVersion).to.equal(false);
+  });
+
+  it('does not count the version as gone when its servers were tried', () => {
+    const { access } = createAccess();
+    const request = { streamVersion: 'v2', triedServerIds: new Set(['new-1']) };
+    const { open, hasNoVersion } = access.select(
+      [createView('old-1'), createView('new-1')],
+      request,
+    );
+    expect(open).to.deep.equal([]);
+    expect(hasNoVersion).to.equal(false);
+  });
 });
