--- a/programs/serving/testing/entryFleet.ts
+++ b/programs/serving/testing/entryFleet.ts
@@ -23,8 +23,14 @@
   /** Plain backend servers and engines. */
   readonly servers: readonly BackendServerStandin[];
   readonly entries: readonly FleetEntry[];
-  /** Starts a further entry. */
-  readonly addEntry: () => Promise<FleetEntry>;
+  /**
+   * Starts a further entry.
+   *
+   * @param listed Numbers of the plain servers that it waits for. @default all
+   */
+  readonly addEntry: (listed?: readonly number[]) => Promise<FleetEntry>;
+  /** Ends all entries at once, and breaks off what they serve. */
+  readonly endEntries: () => Promise<void>;
   readonly close: () => Promise<void>;
 };
 
@@ -104,8 +110,10 @@
     }),
   );
   const entries: FleetEntry[] = [];
+  const ended = new Set<FleetEntry>();
   const peerAddresses: string[] = [];
-  const addEntry = async (): Promise<FleetEntry> => {
+  const plainNumbers = numbers(options.plainServers);
+  const addEntry = async (listed = plainNumbers): Promise<FleetEntry> => {
     const { lines, log, logged } = collectLog();
     // The first seed may have stopped by now.
     const settings = {
@@ -137,19 +145,26 @@
       ),
     );
     await Promise.all(
-      plainServers.map((_, number) => logged(({ fields }) => fields.server === `i-app-${number}`)),
+      listed.map((number) => logged(({ fields }) => fields.server === `i-app-${number}`)),
     );
     return entry;
   };
   await addEntry();
   await Promise.all(numbers(options.entries - 1).map(() => addEntry()));
+  const running = (): readonly FleetEntry[] => entries.filter((entry) => !ended.has(entry));
+  const endEntries = async (): Promise<void> => {
+    const ending = running();
+    ending.forEach((entry) => ended.add(entry));
+    await Promise.all(ending.map(({ gateway }) => gateway.leave()));
+  };
   return {
     store,
     servers,
     entries,
     addEntry,
+    endEntries,
     close: async () => {
-      await Promise.all(entries.map(({ gateway }) => gateway.leave()));
+      await Promise.all(running().map(({ gateway }) => gateway.leave()));
       await Promise.all(keepers.map((keeper) => keeper.leave()));
       await Promise.all([store, ...servers].map((standin) => standin.close()));
     },
