Keep where streams began at the processes beside the servers

Callers saw: streams that were taken up after the end of all entries were joined from two software versions, or refused though servers of their version served.

Cause: only entries knew where streams began, and when nobody answered, the versions seen since the start of a process, however short ago, were taken for all that ever were.

Change: an entry tells where a stream begins, when its answer begins, to three keepers, first those beside servers of its version, and to one entry; where there are fewer than three keepers, to four entries as before. Keepers outlive the entries. Who asks, asks up to twelve keepers of each version, and waits for contradictions: answers with several versions count as unknown. That nobody knows counts only 1.5 s after the start of a process, and the only version that was seen counts only if somebody has watched for a minute and nobody saw another. One origin is told for each answer, no longer one for each attempt: keepers of two versions would otherwise contradict each other.

A lone entry is asked after 1.5 s, since before it cannot know that it is alone.

--- a/core/streamOrigins/originLookup.ts
+++ b/core/streamOrigins/originLookup.ts
@@ -1,35 +1,59 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import type { StreamKey } from './streamOrigin.ts';
+import type { VersionSummary } from './versionHistory.ts';
 
 /** A question where a stream began. */
 export type OriginQuery = StreamKey & { readonly number: number };
 
-/** The answer to a question; `version` is absent if the process that was asked does not know. */
-export type OriginAnswer = { readonly number: number; readonly version?: string | undefined };
+/** The answer to a question. */
+export type OriginAnswer = {
+  readonly number: number;
+  /** Absent if the process that was asked does not know. */
+  readonly version?: string | undefined;
+  /** What the process has seen of the service; absent from one that does not watch it. */
+  readonly seen?: VersionSummary | undefined;
+};
+
+/** What other processes have answered to a question. */
+export type OriginResult = {
+  /** The version at which the stream began, if anybody knows it. */
+  readonly version: string | undefined;
+  /** What processes that do not know it have seen of the service. */
+  readonly seen: readonly VersionSummary[];
+};
 
 /** Options of `OriginLookup`. */
 export type OriginLookupOptions = {
   /** Returns the other processes that may know where a stream began. */
   readonly holdersOf: (key: StreamKey) => readonly string[];
   readonly ask: (holder: string, query: OriginQuery) => void;
-  /** Called once for each question, with the version if anybody knows it. */
-  readonly onResult: (key: StreamKey, version: string | undefined) => void;
+  /** Called once for each question. */
+  readonly onResult: (key: StreamKey, result: OriginResult) => void;
 };
 
+/** Time from the first version until the answers of the others that can be reached have arrived. */
+const CONFIRMATION_MS: Milliseconds = 50;
+
 /** Time after which a question without an answer counts as answered by nobody. */
 const TIMEOUT_MS: Milliseconds = 500;
 
-/** Time after the start of the process in which it may not know all others. */
+/**
+ * Time after the start of the process in which it may not know all others, and in which their ignorance
+ * proves nothing.
+ */
 const SETTLING_MS: Milliseconds = 1500;
 
-/** Answers that show in this time that nobody knows; later those of all holders do. */
-const MIN_ANSWERS_WHILE_SETTLING = 3;
-
 type Pending = {
   readonly query: OriginQuery;
   readonly askedAt: Milliseconds;
   readonly asked: Set<string>;
-  readonly ignorant: Set<string>;
+  /** What each process that does not know has seen of the service. */
+  readonly ignorant: Map<string, VersionSummary | undefined>;
+  /** Processes that know it. */
+  readonly knowing: Set<string>;
+  /** The versions that they know; several if streams of two versions bear one name. */
+  readonly versions: Set<string>;
+  firstKnownAt: Milliseconds | undefined;
 };
 
 /** Asks other processes where streams began. */
@@ -61,7 +85,10 @@
       query,
       askedAt: now,
       asked: new Set(),
-      ignorant: new Set(),
+      ignorant: new Map(),
+      knowing: new Set(),
+      versions: new Set(),
+      firstKnownAt: undefined,
     });
     this.#proceed(query.number, now);
   }
@@ -69,7 +96,10 @@
   /** Returns the questions to a process that it has not answered, to send them again on a new link. */
   unansweredBy(holder: string): readonly OriginQuery[] {
     return [...this.#pending.values()]
-      .filter(({ asked, ignorant }) => asked.has(holder) && !ignorant.has(holder))
+      .filter(
+        ({ asked, ignorant, knowing }) =>
+          asked.has(holder) && !ignorant.has(holder) && !knowing.has(holder),
+      )
       .map(({ query }) => query);
   }
 
@@ -78,10 +108,12 @@
     const pending = this.#pending.get(answer.number);
     if (pending === undefined || !pending.asked.has(holder)) return;
     if (answer.version !== undefined) {
-      this.#finish(pending, answer.version);
-      return;
+      pending.knowing.add(holder);
+      pending.versions.add(answer.version);
+      pending.firstKnownAt ??= now;
+    } else {
+      pending.ignorant.set(holder, answer.seen);
     }
-    pending.ignorant.add(holder);
     this.#proceed(answer.number, now);
   }
 
@@ -93,7 +125,7 @@
   #proceed(number: number, now: Milliseconds): void {
     const pending = this.#pending.get(number);
     if (pending === undefined) return;
-    const { query, askedAt, asked, ignorant } = pending;
+    const { query, asked, ignorant, knowing } = pending;
     this.#options
       .holdersOf(query)
       .filter((holder) => !asked.has(holder))
@@ -101,15 +133,33 @@
         asked.add(holder);
         this.#options.ask(holder, query);
       });
-    const isSettled = now - this.#startedAt > SETTLING_MS;
-    const minAnswers = isSettled ? 0 : MIN_ANSWERS_WHILE_SETTLING;
-    const haveAllAnswered = asked.size === ignorant.size && ignorant.size >= minAnswers;
-    if (haveAllAnswered || now - askedAt >= TIMEOUT_MS) {
-      this.#finish(pending, undefined);
+    const haveAllAnswered = asked.size === ignorant.size + knowing.size;
+    const waitsUntil = this.#waitsUntil(pending);
+    if (now >= waitsUntil || (haveAllAnswered && this.#isConclusive(pending, now))) {
+      this.#finish(pending);
     }
   }
 
-  #finish({ query }: Pending, version: string | undefined): void {
-    if (this.#pending.delete(query.number)) this.#options.onResult(query, version);
+  /** Returns when a question ends without the missing answers. */
+  #waitsUntil({ askedAt, firstKnownAt }: Pending): Milliseconds {
+    if (firstKnownAt !== undefined) return firstKnownAt + CONFIRMATION_MS;
+    return Math.max(askedAt + TIMEOUT_MS, this.#startedAt + SETTLING_MS);
+  }
+
+  /** Whether the answers of all known processes settle a question, though there may be others. */
+  #isConclusive({ knowing, ignorant }: Pending, now: Milliseconds): boolean {
+    return (
+      knowing.size > 0 ||
+      now >= this.#startedAt + SETTLING_MS ||
+      [...ignorant.values()].some((seen) => seen?.isComplete === true)
+    );
+  }
+
+  #finish({ query, ignorant, versions }: Pending): void {
+    if (!this.#pending.delete(query.number)) return;
+    const [version] = versions;
+    const seen = [...ignorant.values()].filter((summary) => summary !== undefined);
+    if (versions.size > 1) this.#options.onResult(query, { version: undefined, seen: [] });
+    else this.#options.onResult(query, { version, seen });
   }
 }
--- a/programs/serving/allEntriesEnd.test.ts
+++ b/programs/serving/allEntriesEnd.test.ts
@@ -39,7 +39,6 @@
       entries: 3,
       plainServers: 2 * SERVERS_OF_VERSION,
       engines: 3,
-      graceMs: 0,
       versionOf: (number) => (number < SERVERS_OF_VERSION ? 'v1' : 'v2'),
     });
     fleet.servers.forEach((server) => {
--- a/programs/serving/streamSoak.test.ts
+++ b/programs/serving/streamSoak.test.ts
@@ -35,7 +35,7 @@
 /** A time in which a server says that it leaves. */
 type Departure = { readonly server: number; readonly from: number; until: number };
 
-describe('streams under load, with entries that stop and servers of two versions that leave', () => {
+describe('streams under load, with entries that stop or all end at once, and servers of two versions that leave', () => {
   let fleet: EntryFleet;
   let departures: Departure[];
 
@@ -44,7 +44,7 @@
     fleet = await startEntryFleet({
       entries: 3,
       plainServers: 2 * SERVERS_OF_VERSION,
-      engines: 0,
+      engines: 3,
       graceMs: 1500,
       versionOf: (number) => (number < SERVERS_OF_VERSION ? 'v1' : 'v2'),
     });
@@ -103,6 +103,12 @@
         leaving.push(entry!.gateway.leave());
         serving.push(await fleet.addEntry());
       },
+      async () => {
+        if (leaving.length > 0) return;
+        await fleet.endEntries();
+        const started = await Promise.all(fleet.entries.slice(0, 3).map(() => fleet.addEntry()));
+        serving.splice(0, Infinity, ...started);
+      },
     ];
     /** Reads a stream, which the caller drops or takes up again at another entry. */
     const travel = async (id: string, dropAfter: number, first: number): Promise<Journey> => {
--- a/programs/serving/streamVersion.test.ts
+++ b/programs/serving/streamVersion.test.ts
@@ -187,9 +187,9 @@
     await fleet.close();
   });
 
-  it('goes on although nobody knows who began it', async () => {
+  it('is refused when nobody knows who began it, and no entry has watched for a minute', async () => {
     const headers = { 'Last-Event-Id': '2', Resumes: 'unknown' };
     const result = await readStream(fleet.entries[0]!, { id: 'r', headers });
-    expect(result.versions).to.deep.equal(['v1', 'v1', 'v1', 'v1']);
+    expect(result).to.deep.equal({ status: 503, hasRetryAfter: false, eventIds: [], versions: [] });
   });
 });
--- a/programs/serving/testing/entryFleet.ts
+++ b/programs/serving/testing/entryFleet.ts
@@ -155,7 +155,12 @@
   const endEntries = async (): Promise<void> => {
     const ending = running();
     ending.forEach((entry) => ended.add(entry));
-    await Promise.all(ending.map(({ gateway }) => gateway.leave()));
+    await Promise.all(
+      ending.map(({ gateway }) => {
+        gateway.applySettings({ ...shared, host: '', ip: '127.0.0.1', graceMs: 0 });
+        return gateway.leave();
+      }),
+    );
   };
   return {
     store,
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod/mini';
 import type { Milliseconds } from '../../core/clock/mod.ts';
 import { decodeChecked, encodeMessagePack } from '../_decodeChecked.ts';
+import { originAnswerSchema, originQuerySchema, streamOriginsSchema } from '../_originMessages.ts';
 
 /** Longest trait; longer values are hashed by their sender. */
 const MAX_TRAIT_LENGTH = 100;
@@ -103,7 +104,10 @@
   requestId: z.string().check(z.maxLength(MAX_REQUEST_ID_LENGTH)),
 };
 
-/** Where streams began; an empty list shows that the link is alive. */
+/**
+ * Where streams began, as older builds tell it; an empty list asks for an acknowledgement, which shows that the
+ * link is alive.
+ */
 const originsSchema = z.object({
   kind: z.literal('origins'),
   origins: z.readonly(
@@ -113,16 +117,6 @@
 
 const originsReceivedSchema = z.object({ kind: z.literal('origins-received') });
 
-const originQuerySchema = z.object({
-  kind: z.literal('origin-query'),
-  query: z.object({ ...streamKeySchema, number: countSchema }),
-});
-
-const originAnswerSchema = z.object({
-  kind: z.literal('origin-answer'),
-  answer: z.object({ number: countSchema, version: z.optional(z.string()) }),
-});
-
 const digestSchema = z.object({
   kind: z.literal('digest'),
   address: z.string(),
@@ -147,6 +141,7 @@
   z.object({ kind: z.literal('news'), prefix: z.string(), news: updateSchema }),
   permitRequestSchema,
   permitAnswerSchema,
+  streamOriginsSchema,
   originsSchema,
   originsReceivedSchema,
   originQuerySchema,
@@ -162,7 +157,7 @@
 /** What an entry tells or asks another of the origins of streams. */
 export type OriginMessage = Extract<
   PeerMessage,
-  { readonly kind: 'origins' } | { readonly kind: 'origin-query' }
+  { readonly kind: 'stream-origins' | 'origins' | 'origin-query' }
 >;
 
 /** A request for a permit, as it arrives from another entry. */
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -10,9 +10,11 @@
   ModelName,
   Service,
 } from '../../core/serving/mod.ts';
+import type { ServerKeeper } from '../../core/streamOrigins/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 import { KeeperLinks } from './keeperLinks.ts';
+import type { OriginKeepers, OriginTask } from './originTask.ts';
 
 /** Options of `ServerTable`. */
 export type ServerTableOptions = {
@@ -31,6 +33,8 @@
   readonly onServerRecord: (server: BackendServer) => void;
   /** Called when a server has started again under its id. */
   readonly onServerRestarted: (id: string) => void;
+  /** Returns the task that asks keepers where streams began. */
+  readonly origins: () => Pick<OriginTask, 'askAgain' | 'applyAnswer'>;
   /** Called when a server has been removed. */
   readonly onServerRemoved: (id: string) => void;
 };
@@ -65,7 +69,11 @@
       dial: options.dial,
       log: options.log,
       onReport: (address, report) => this.#applyKeeperReport(address, report),
-      onOpen: (address) => this.#sendUses(address),
+      onOpen: (address) => {
+        this.#sendUses(address);
+        options.origins().askAgain(address);
+      },
+      onOriginAnswer: (address, answer) => options.origins().applyAnswer(address, answer),
     });
   }
 
@@ -89,6 +97,15 @@
     return [...this.#views.values()].map(({ server }) => server);
   }
 
+  /** The keepers of the known engines, as those that keep where streams began. */
+  get originKeepers(): OriginKeepers {
+    return {
+      all: () => this.#keepers(),
+      isOpen: (address) => this.#links.isOpen(address),
+      send: (address, message) => this.#links.sendOrigins(address, message),
+    };
+  }
+
   /** Returns the servers of a service. */
   viewsOf(service: Service): readonly ServerView[] {
     return [...this.#views.values()].filter(({ server }) => server.service === service.name);
@@ -161,6 +178,16 @@
     return connections;
   }
 
+  #keepers(): readonly ServerKeeper[] {
+    return [...this.#views.values()]
+      .filter(({ server }) => this.#options.engineOf(server.service) !== undefined)
+      .map(({ server }) => ({
+        address: this.#keeperAddress(server),
+        service: server.service,
+        version: server.softwareVersion,
+      }));
+  }
+
   #updateRecord(server: BackendServer): void {
     const view = this.#views.get(server.id);
     if (view === undefined) return;
--- a/tasks/gateway/_streamVersions.ts
+++ b/tasks/gateway/_streamVersions.ts
@@ -1,12 +1,14 @@
 import type { Clock } from '../../core/clock/mod.ts';
+import { hashText } from '../../core/placement/mod.ts';
 import type { BackendServer } from '../../core/serving/mod.ts';
-import { VersionHistory } from '../../core/streamOrigins/mod.ts';
-import type { StreamKey } from '../../core/streamOrigins/mod.ts';
+import { agreedVersion, VersionHistory } from '../../core/streamOrigins/mod.ts';
+import type { OriginResult, StreamKey, VersionSummary } from '../../core/streamOrigins/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 import type { OpenRequest } from './_openRequest.ts';
 import { OriginTask } from './originTask.ts';
+import type { OriginKeepers } from './originTask.ts';
 
 /** Options of `StreamVersions`. */
 export type StreamVersionsOptions = {
@@ -20,6 +22,8 @@
   readonly incarnation: string;
   /** Returns the names of the other live entries. */
   readonly peers: () => readonly string[];
+  /** Returns the keepers of the known engines. */
+  readonly keepers: () => OriginKeepers;
   /** Chooses a server for a request and sends it. */
   readonly dispatch: (request: OpenRequest) => void;
   /** Refuses a request that must be begun anew. */
@@ -50,7 +54,9 @@
     this.#history = new VersionHistory(options.clock.now());
     this.origins = new OriginTask({
       ...options,
-      onResult: (key, version) => this.#handleResult(key, version),
+      processName: hashText(options.incarnation).toString(36),
+      summaryOf: (service) => this.#summaryOf(service),
+      onResult: (key, result) => this.#handleResult(key, result),
     });
   }
 
@@ -69,37 +75,31 @@
     if (streamVersion !== undefined || (resumes === undefined && lastEventId === undefined)) {
       return true;
     }
-    const { clock, refuse } = this.#options;
     const key = keyOf(request, resumes ?? '');
-    const onlyVersion = this.#history.onlyVersionOf(service.name, clock.now());
-    // A process that has just started may have missed a version whose servers have left.
-    const isCertain = resumes === undefined || this.#history.isComplete(clock.now());
-    const version = this.origins.versionOf(key) ?? (isCertain ? onlyVersion : undefined);
-    if (version !== undefined) {
-      request.streamVersion = version;
-      return true;
+    const version = this.origins.versionOf(key) ?? agreedVersion([this.#summaryOf(service.name)]);
+    if (version === undefined) {
+      this.#await(request, key);
+      return false;
     }
-    if (resumes === undefined) refuse(request);
-    else this.#await(request, key);
-    return false;
+    request.streamVersion = version;
+    return true;
   }
 
-  /** Records that a request is sent to a server, at whose version its stream may begin. */
-  noteSent(request: OpenRequest, { softwareVersion }: BackendServer): void {
+  /**
+   * Records that the response of a server begins to reach the caller. Other attempts of the request have
+   * brought no event, so that one origin is told for each answer.
+   */
+  noteBegun(request: OpenRequest, { softwareVersion }: BackendServer): void {
     const { head, route, streamVersion } = request;
-    if (route.repeatability !== 'resumable' || streamVersion !== undefined) return;
-    this.origins.note({
-      ...keyOf(request, head.requestId),
-      version: softwareVersion,
-      beganBy: this.#options.incarnation,
-    });
+    if (!route.isStream || streamVersion !== undefined) return;
+    request.streamVersion = softwareVersion;
+    if (route.repeatability !== 'resumable') return;
+    this.origins.note(keyOf(request, head.requestId), softwareVersion);
+    this.origins.flush();
   }
 
-  /** Records that the response of a server begins to reach the caller. */
-  noteBegun(request: OpenRequest, { softwareVersion }: BackendServer): void {
-    if (!request.route.isStream) return;
-    request.streamVersion ??= softwareVersion;
-    this.origins.flush();
+  #summaryOf(service: string): VersionSummary {
+    return this.#history.summaryOf(service, this.#options.clock.now());
   }
 
   #await(request: OpenRequest, key: StreamKey): void {
@@ -113,10 +113,10 @@
     this.origins.lookUp(key);
   }
 
-  #handleResult(key: StreamKey, found: string | undefined): void {
-    const { dispatch, refuse, clock, log, metrics } = this.#options;
+  #handleResult(key: StreamKey, { version: found, seen }: OriginResult): void {
+    const { dispatch, refuse, log, metrics } = this.#options;
     const name = nameOf(key);
-    const version = found ?? this.#history.onlyVersionOf(key.service, clock.now());
+    const version = found ?? agreedVersion([this.#summaryOf(key.service), ...seen]);
     const requests = this.#waiting.get(name) ?? new Set();
     this.#waiting.delete(name);
     const result = found === undefined ? 'unknown' : 'known';
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -143,6 +143,7 @@
     this.#adapterVersions = new AdapterVersions(options.log);
     this.#streamVersions = new StreamVersions({
       ...common,
+      keepers: () => this.#table.originKeepers,
       refuse: (request) => this.#endings.refuse(request, 'origin-unknown', undefined),
     });
     this.#hold = new StartupHold(options.clock);
@@ -154,6 +155,7 @@
         this.#notices.noteRecord(server);
         this.#streamVersions.noteServer(server);
       },
+      origins: () => this.#streamVersions.origins,
       onServerRestarted: (id) => this.#limits.noteRestart(id),
       onServerRemoved: (id) => {
         this.#health.forget(id);
@@ -427,7 +429,6 @@
     this.#guard.noteSent(request);
     this.#limits.noteSent(view.server.id);
     this.#notices.noteSent(server);
-    this.#streamVersions.noteSent(request, server);
     request.isAwaitingFirstByte = true;
     view.awaitingFirstByte += 1;
     this.#table.noteSent(view, head.modelName);
--- a/tasks/gateway/keeperLinks.ts
+++ b/tasks/gateway/keeperLinks.ts
@@ -1,10 +1,14 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { KeeperReport } from '../../core/dispatch/mod.ts';
 import type { ModelName } from '../../core/serving/mod.ts';
+import type { OriginAnswer } from '../../core/streamOrigins/mod.ts';
 import type { Log } from '../../log/mod.ts';
+import { dispatch } from '../_handlers.ts';
+import type { Handlers } from '../_handlers.ts';
 import { decodeKeeperMessage, encodeMessage } from '../keeper/mod.ts';
-import type { EntryMessage } from '../keeper/mod.ts';
+import type { EntryMessage, KeeperMessage } from '../keeper/mod.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
+import type { OriginQueryMessage, StreamOriginsMessage } from '../_originMessages.ts';
 import type { Dial } from '../ports/mod.ts';
 
 /** Options of `KeeperLinks`. */
@@ -16,6 +20,8 @@
   readonly onReport: (address: string, report: KeeperReport | undefined) => void;
   /** Called when a link opens, so that the adapters in use can be reported to the keeper. */
   readonly onOpen: (address: string) => void;
+  /** Called with the answer of a keeper where a stream began. */
+  readonly onOriginAnswer: (address: string, answer: OriginAnswer) => void;
 };
 
 type Hello = Extract<EntryMessage, { kind: 'hello' }>;
@@ -73,6 +79,16 @@
     this.#links.send(address, encodeMessage({ kind: 'use', name, count }));
   }
 
+  /** Whether a link is open, so that messages are sent and not dropped. */
+  isOpen(address: string): boolean {
+    return this.#links.isOpen(address);
+  }
+
+  /** Tells a keeper where streams begin, or asks it where one began. */
+  sendOrigins(address: string, message: StreamOriginsMessage | OriginQueryMessage): void {
+    this.#links.send(address, encodeMessage(message));
+  }
+
   /** Detects silent keepers and reconnects. Call it several times a second. */
   tick(): void {
     this.#links.tick();
@@ -87,7 +103,7 @@
   }
 
   #receive(address: string, bytes: Uint8Array): void {
-    const { log, clock, onReport } = this.#options;
+    const { log } = this.#options;
     const keeper = this.#keepers.get(address);
     if (keeper === undefined) return;
     const message = decodeKeeperMessage(bytes);
@@ -95,6 +111,19 @@
       log('messageUnreadable', { from: address, bytes: bytes.length });
       return;
     }
+    const handlers: Handlers<KeeperMessage, void> = {
+      state: (state) => this.#applyState(address, keeper, state),
+      'origin-answer': ({ answer }) => this.#options.onOriginAnswer(address, answer),
+    };
+    dispatch(handlers, message);
+  }
+
+  #applyState(
+    address: string,
+    keeper: KnownKeeper,
+    message: Extract<KeeperMessage, { kind: 'state' }>,
+  ): void {
+    const { log, clock, onReport } = this.#options;
     if (keeper.report === undefined) log('keeperReady', { address });
     keeper.fencingToken = Math.max(keeper.fencingToken, message.fencingToken);
     keeper.report = {
--- a/tasks/gateway/originTask.test.ts
+++ b/tasks/gateway/originTask.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { StreamOrigin } from '../../core/streamOrigins/mod.ts';
+import type { StreamKey } from '../../core/streamOrigins/mod.ts';
 import { decodePeerMessage } from './_peerMessages.ts';
 import { OriginTask } from './originTask.ts';
 import { FakeNetwork } from './testing/fakeNetwork.ts';
@@ -34,17 +34,26 @@
     const results = new Map<string, string | undefined>();
     const task = new OriginTask({
       self: name,
+      processName: `${name} ${this.nodes.length}`,
       peers: () => this.live.filter((each) => each !== name),
+      keepers: () => ({ all: () => [], isOpen: () => false, send: () => undefined }),
+      summaryOf: () => ({ versions: ['v1', 'v2'], isComplete: false }),
       clock: network.clock,
       dial: network.dialFrom(name),
       log: () => undefined,
-      onResult: ({ requestId }, version) => results.set(requestId, version),
+      onResult: ({ requestId }, { version }) => results.set(requestId, version),
     });
     network.listen(name, (connection) => ({
       opened: () => undefined,
       received: (bytes) => {
         const message = decodePeerMessage(bytes);
-        if (message?.kind !== 'origins' && message?.kind !== 'origin-query') return;
+        if (
+          message?.kind !== 'origins' &&
+          message?.kind !== 'stream-origins' &&
+          message?.kind !== 'origin-query'
+        ) {
+          return;
+        }
         task.handleMessage(message, (reply) => connection.send(reply));
       },
       closed: () => undefined,
@@ -70,9 +79,9 @@
   }
 }
 
-function originOf(number: number, beganBy: string): StreamOrigin {
-  const version = number % 2 === 0 ? 'v1' : 'v2';
-  return { service: SERVICE, requestId: `r${number}`, version, beganBy };
+/** Returns a stream and the version at which it begins. */
+function originOf(number: number): readonly [StreamKey, string] {
+  return [{ service: SERVICE, requestId: `r${number}` }, number % 2 === 0 ? 'v1' : 'v2'];
 }
 
 /** Asks a node for streams; returns how many it knows, and how many of these wrongly. */
@@ -90,7 +99,7 @@
   network.run(1000);
   const versions = numbers.map((number) => ({
     found: node.results.get(`r${number}`),
-    right: originOf(number, '').version,
+    right: originOf(number)[1],
   }));
   return {
     known: versions.filter(({ found }) => found !== undefined).length,
@@ -107,7 +116,7 @@
       const [first, second] = entries.nodes;
       entries.network.run(3000);
       numbers.forEach((number) => {
-        first!.task.note(originOf(number, first!.name));
+        first!.task.note(...originOf(number));
         first!.task.flush();
         entries.network.run(20);
       });
@@ -125,7 +134,7 @@
       entries.network.run(3000);
       entries.network.partitioned.add(third!.name);
       numbers.forEach((number) => {
-        first!.task.note(originOf(number, first!.name));
+        first!.task.note(...originOf(number));
         entries.network.run(20);
       });
       const { known, wrong } = ask(entries, second!, numbers);
@@ -138,7 +147,9 @@
   it('tells a single entry where its streams began, and that nobody knows the others', () => {
     const entries = new Entries(1);
     const [only] = entries.nodes;
-    only!.task.note(originOf(1, only!.name));
+    // Before that, others may exist that it does not know yet.
+    entries.network.run(1500);
+    only!.task.note(...originOf(1));
     expect(ask(entries, only!, [1, 2])).to.deep.equal({ known: 1, wrong: 0 });
     expect(only!.results.has('r2')).to.equal(true);
   });
@@ -147,8 +158,8 @@
     const entries = new Entries(3);
     const [first, second, third] = entries.nodes;
     entries.network.run(2000);
-    first!.task.note({ ...originOf(1, first!.name), version: 'v1' });
-    second!.task.note({ ...originOf(1, second!.name), version: 'v2' });
+    first!.task.note(originOf(1)[0], 'v1');
+    second!.task.note(originOf(1)[0], 'v2');
     entries.network.run(500);
     expect(ask(entries, third!, [1])).to.deep.equal({ known: 0, wrong: 0 });
   });
@@ -157,8 +168,8 @@
     const entries = new Entries(3);
     const [first, second] = entries.nodes;
     entries.network.run(2000);
-    first!.task.note({ ...originOf(1, first!.name), version: 'v1' });
-    first!.task.note({ ...originOf(1, first!.name), version: 'v2' });
+    first!.task.note(originOf(1)[0], 'v1');
+    first!.task.note(originOf(1)[0], 'v2');
     entries.network.run(500);
     expect(ask(entries, second!, [1])).to.deep.equal({ known: 1, wrong: 0 });
   });
@@ -166,7 +177,7 @@
   it('forgets origins after a minute', () => {
     const entries = new Entries(1);
     const [only] = entries.nodes;
-    only!.task.note(originOf(1, only!.name));
+    only!.task.note(...originOf(1));
     entries.network.run(61_000);
     expect(only!.task.versionOf({ service: SERVICE, requestId: 'r1' })).to.equal(undefined);
   });
--- a/tasks/gateway/originTask.ts
+++ b/tasks/gateway/originTask.ts
@@ -1,23 +1,53 @@
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
-import { chooseHolders, OriginLedger, OriginLookup } from '../../core/streamOrigins/mod.ts';
-import type { OriginQuery, StreamKey, StreamOrigin } from '../../core/streamOrigins/mod.ts';
+import {
+  chooseAsked,
+  chooseOriginHolders,
+  OriginLedger,
+  OriginLookup,
+} from '../../core/streamOrigins/mod.ts';
+import type {
+  OriginAnswer,
+  OriginQuery,
+  OriginResult,
+  ServerKeeper,
+  StreamKey,
+  StreamOrigin,
+  VersionSummary,
+} from '../../core/streamOrigins/mod.ts';
 import type { Log } from '../../log/mod.ts';
+import { dispatch } from '../_handlers.ts';
+import type { Handlers } from '../_handlers.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
+import { groupOrigins, noteOrigins } from '../_originMessages.ts';
+import type { OriginQueryMessage, StreamOriginsMessage } from '../_originMessages.ts';
 import type { Dial } from '../ports/mod.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
 import type { OriginMessage } from './_peerMessages.ts';
 
+/** The links to the processes beside the servers. */
+export type OriginKeepers = {
+  readonly all: () => readonly ServerKeeper[];
+  readonly isOpen: (address: string) => boolean;
+  readonly send: (address: string, message: StreamOriginsMessage | OriginQueryMessage) => void;
+};
+
 /** Options of `OriginTask`. */
 export type OriginTaskOptions = {
   /** Name of this entry among its peers: the address at which they reach it. */
   readonly self: string;
+  /** Short name of this process, unlikely to be that of another; new at each start. */
+  readonly processName: string;
   /** Returns the addresses of the other live entries. */
   readonly peers: () => readonly string[];
+  /** Returns the keepers, and the links to them. */
+  readonly keepers: () => OriginKeepers;
   readonly clock: Clock;
   readonly dial: Dial;
   readonly log: Log;
-  /** Called with the result of each `lookUp`: the version, if any entry knows it. */
-  readonly onResult: (key: StreamKey, version: string | undefined) => void;
+  /** Returns what this entry has seen of a service. */
+  readonly summaryOf: (service: string) => VersionSummary;
+  /** Called with the result of each `lookUp`. */
+  readonly onResult: (key: StreamKey, result: OriginResult) => void;
 };
 
 /** Interval of the checks of links and questions. */
@@ -26,15 +56,15 @@
 /** Delay of origins, so that those of the same moment go out together; shorter than a stream needs to begin. */
 const BATCH_DELAY_MS: Milliseconds = 10;
 
-/** Time without a message after which an empty one shows that a link is alive. */
+/** Interval of the messages that show that a link is alive. */
 const KEEPALIVE_MS: Milliseconds = 500;
 
 /** Time without an origin or a question after which a link is closed. */
 const LINK_IDLE_MS: Milliseconds = 20_000;
 
-type LinkUse = { usedAt: Milliseconds; sentAt: Milliseconds };
+type LinkUse = { usedAt: Milliseconds; askedAt: Milliseconds };
 
-/** Tells other entries where streams begin, and asks them. */
+/** Tells keepers and other entries where streams begin, and asks them. */
 export class OriginTask {
   readonly #options: OriginTaskOptions;
 
@@ -46,8 +76,8 @@
 
   readonly #uses = new Map<string, LinkUse>();
 
-  /** Origins that have not been sent yet, by holder. */
-  readonly #unsent = new Map<string, StreamOrigin[]>();
+  /** Origins that have not been sent yet, by holder; the last of each stream. */
+  readonly #unsent = new Map<string, Map<string, StreamOrigin>>();
 
   #cancelFlush: Cancellation | undefined;
 
@@ -57,7 +87,7 @@
     this.#options = options;
     this.#lookup = new OriginLookup(
       {
-        holdersOf: (key) => this.#holdersOf(key),
+        holdersOf: (key) => this.#askedFor(key),
         ask: (holder, query) => this.#ask(holder, query),
         onResult: options.onResult,
       },
@@ -87,16 +117,21 @@
     this.#links.closeAll();
   }
 
-  /** Records where a stream begins, and soon tells the entries that keep it. */
-  note(origin: StreamOrigin): void {
-    const { clock } = this.#options;
+  /** Records where a stream begins, and soon tells the processes that keep it. */
+  note(key: StreamKey, version: string): void {
+    const { clock, processName, self, peers } = this.#options;
+    const keepers = this.#options.keepers();
+    const origin = { ...key, version, beganBy: processName };
     this.#ledger.note(origin, clock.now());
-    this.#holdersOf(origin).forEach((holder) => {
-      const unsent = this.#unsent.get(holder) ?? [];
-      unsent.push(origin);
-      this.#unsent.set(holder, unsent);
-      this.#use(holder);
-    });
+    const reachable = keepers.all().filter(({ address }) => keepers.isOpen(address));
+    chooseOriginHolders(key, version, { entries: [self, ...peers()], keepers: reachable })
+      .filter((holder) => holder !== self)
+      .forEach((holder) => {
+        const unsent = this.#unsent.get(holder) ?? new Map<string, StreamOrigin>();
+        unsent.set(`${key.service} ${key.requestId}`, origin);
+        this.#unsent.set(holder, unsent);
+        if (!this.#isKeeper(holder)) this.#use(holder);
+      });
     this.#cancelFlush ??= clock.schedule(BATCH_DELAY_MS, () => this.flush());
   }
 
@@ -104,7 +139,7 @@
   flush(): void {
     this.#cancelFlush?.();
     this.#cancelFlush = undefined;
-    this.#unsent.forEach((origins, holder) => this.#sendOrigins(holder, origins));
+    [...this.#unsent.keys()].forEach((holder) => this.#sendOrigins(holder));
   }
 
   /** Returns the version at which a stream began, as far as this entry knows. */
@@ -117,58 +152,91 @@
     this.#lookup.begin(key, this.#options.clock.now());
   }
 
+  /** Applies the answer of a keeper. */
+  applyAnswer(address: string, answer: OriginAnswer): void {
+    this.#lookup.applyAnswer(address, answer, this.#options.clock.now());
+  }
+
+  /** Asks a keeper again what it has not answered, since the link to it has opened. */
+  askAgain(address: string): void {
+    this.#lookup.unansweredBy(address).forEach((query) => this.#sendQuery(address, query));
+  }
+
   /** Handles the message of another entry. */
   handleMessage(message: OriginMessage, reply: (bytes: Uint8Array) => void): void {
-    const { clock } = this.#options;
+    const { clock, summaryOf } = this.#options;
     const now = clock.now();
-    if (message.kind === 'origins') {
-      message.origins.forEach((origin) => this.#ledger.note(origin, now));
-      reply(encodePeerMessage({ kind: 'origins-received' }));
-      return;
-    }
-    const { number } = message.query;
-    const version = this.#ledger.find(message.query, now)?.version;
-    reply(encodePeerMessage({ kind: 'origin-answer', answer: { number, version } }));
+    const handlers: Handlers<OriginMessage, void> = {
+      'stream-origins': (origins) => noteOrigins(this.#ledger, origins, now),
+      origins: ({ origins }) => {
+        origins.forEach((origin) => this.#ledger.note(origin, now));
+        reply(encodePeerMessage({ kind: 'origins-received' }));
+      },
+      'origin-query': ({ query }) => {
+        const version = this.#ledger.find(query, now)?.version;
+        const answer = { number: query.number, version, seen: summaryOf(query.service) };
+        reply(encodePeerMessage({ kind: 'origin-answer', answer }));
+      },
+    };
+    dispatch(handlers, message);
+  }
+
+  #askedFor(key: StreamKey): readonly string[] {
+    const { self, peers, keepers } = this.#options;
+    const candidates = { entries: [self, ...peers()], keepers: keepers().all() };
+    return chooseAsked(key, candidates).filter((holder) => holder !== self);
   }
 
-  #holdersOf(key: StreamKey): readonly string[] {
-    const { self, peers } = this.#options;
-    return chooseHolders(key, [self, ...peers()]).filter((holder) => holder !== self);
+  #isKeeper(address: string): boolean {
+    return this.#options
+      .keepers()
+      .all()
+      .some((keeper) => keeper.address === address);
   }
 
   #use(address: string): void {
     const now = this.#options.clock.now();
     const use = this.#uses.get(address);
-    if (use === undefined) this.#uses.set(address, { usedAt: now, sentAt: now });
+    if (use === undefined) this.#uses.set(address, { usedAt: now, askedAt: now });
     else use.usedAt = now;
     this.#links.open(address);
   }
 
-  #send(address: string, bytes: Uint8Array): void {
-    const use = this.#uses.get(address);
-    if (use !== undefined) use.sentAt = this.#options.clock.now();
-    this.#links.send(address, bytes);
-  }
-
-  /** Sends origins; they wait while the link is not open. */
-  #sendOrigins(holder: string, origins: readonly StreamOrigin[]): void {
-    if (!this.#links.isOpen(holder)) return;
+  /** Sends the origins for a holder; those for an entry wait while the link to it is not open. */
+  #sendOrigins(holder: string): void {
+    const { processName, keepers } = this.#options;
+    const isKeeper = this.#isKeeper(holder);
+    if (!isKeeper && this.#uses.has(holder) && !this.#links.isOpen(holder)) return;
+    const origins = [...(this.#unsent.get(holder)?.values() ?? [])];
     this.#unsent.delete(holder);
-    this.#send(holder, encodePeerMessage({ kind: 'origins', origins }));
+    if (origins.length === 0) return;
+    const message = groupOrigins(processName, origins);
+    if (isKeeper) keepers().send(holder, message);
+    else this.#links.send(holder, encodePeerMessage(message));
   }
 
   #ask(holder: string, query: OriginQuery): void {
-    this.#use(holder);
-    if (this.#links.isOpen(holder)) this.#sendQuery(holder, query);
+    if (!this.#isKeeper(holder)) this.#use(holder);
+    this.#sendQuery(holder, query);
   }
 
   #sendQuery(holder: string, query: OriginQuery): void {
-    this.#send(holder, encodePeerMessage({ kind: 'origin-query', query }));
+    const message = { kind: 'origin-query', query } as const;
+    if (this.#isKeeper(holder)) this.#options.keepers().send(holder, message);
+    else this.#links.send(holder, encodePeerMessage(message));
   }
 
   #resend(holder: string): void {
-    this.#sendOrigins(holder, this.#unsent.get(holder) ?? []);
-    this.#lookup.unansweredBy(holder).forEach((query) => this.#sendQuery(holder, query));
+    this.#sendKeepalive(holder);
+    this.#sendOrigins(holder);
+    this.askAgain(holder);
+  }
+
+  /** Asks an entry for an acknowledgement, which shows that the link is alive. */
+  #sendKeepalive(address: string): void {
+    const use = this.#uses.get(address);
+    if (use !== undefined) use.askedAt = this.#options.clock.now();
+    this.#links.send(address, encodePeerMessage({ kind: 'origins', origins: [] }));
   }
 
   #tick(): void {
@@ -176,10 +244,10 @@
     this.#lookup.tick(now);
     this.#links.tick();
     const live = new Set(this.#options.peers());
-    this.#uses.forEach(({ usedAt, sentAt }, address) => {
+    this.#uses.forEach(({ usedAt, askedAt }, address) => {
       if (now - usedAt > LINK_IDLE_MS || !live.has(address)) this.#forget(address);
-      else if (now - sentAt > KEEPALIVE_MS && this.#links.isOpen(address)) {
-        this.#sendOrigins(address, this.#unsent.get(address) ?? []);
+      else if (now - askedAt > KEEPALIVE_MS && this.#links.isOpen(address)) {
+        this.#sendKeepalive(address);
       }
     });
   }
@@ -193,7 +261,7 @@
   #receiveAnswer(address: string, bytes: Uint8Array): void {
     const message = decodePeerMessage(bytes);
     if (message?.kind === 'origin-answer') {
-      this.#lookup.applyAnswer(address, message.answer, this.#options.clock.now());
+      this.applyAnswer(address, message.answer);
     } else if (message?.kind !== 'origins-received') {
       this.#options.log('messageUnreadable', { from: address, bytes: bytes.length });
     }
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -278,7 +278,11 @@
       this.#options.services.permits.handleRequest(message, reply);
       return;
     }
-    if (message.kind === 'origins' || message.kind === 'origin-query') {
+    if (
+      message.kind === 'stream-origins' ||
+      message.kind === 'origins' ||
+      message.kind === 'origin-query'
+    ) {
       this.#options.services.origins.handleMessage(message, reply);
       return;
     }
--- a/tasks/keeper/keeper.ts
+++ b/tasks/keeper/keeper.ts
@@ -5,8 +5,10 @@
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { EngineOrder, EngineReport, OrderAnswer } from '../../platform/mod.ts';
+import { OriginLedger } from '../../core/streamOrigins/mod.ts';
 import { dispatch } from '../_handlers.ts';
 import type { Handlers } from '../_handlers.ts';
+import { noteOrigins } from '../_originMessages.ts';
 import type { Accept, Connection } from '../ports/mod.ts';
 import { decodeEntryMessage, encodeMessage } from './messages.ts';
 import type { EntryMessage, KeeperMessage } from './messages.ts';
@@ -60,7 +62,10 @@
   return holdings.map(({ name, version }) => `${name}@${version}`).join(' ');
 }
 
-/** Manages one engine: only it sends load and unload orders, and it reports to the entries. */
+/**
+ * Manages one engine: only it sends load and unload orders, and it reports to the entries. It also keeps
+ * where streams began, since it lives on when entries end.
+ */
 export class Keeper {
   readonly #options: KeeperOptions;
 
@@ -68,6 +73,9 @@
 
   readonly #links = new Set<Link>();
 
+  /** Where streams began, kept for the entries, which may all end at once. */
+  readonly #origins = new OriginLedger();
+
   #report: EngineReport | undefined;
 
   /** Holdings of the last report as one string, compared to detect changes per link. */
@@ -137,6 +145,12 @@
       },
       use: ({ name, count }) =>
         this.#scheduler.setUseCount(link.entryId, name, count, this.#options.clock.now()),
+      'stream-origins': (origins) => noteOrigins(this.#origins, origins, this.#options.clock.now()),
+      'origin-query': ({ query }) => {
+        const version = this.#origins.find(query, this.#options.clock.now())?.version;
+        const answer = { number: query.number, version };
+        link.connection.send(encodeMessage({ kind: 'origin-answer', answer }));
+      },
     };
     dispatch(handlers, message);
   }
--- a/tasks/keeper/messages.ts
+++ b/tasks/keeper/messages.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod/mini';
 import { decodeChecked, encodeMessagePack } from '../_decodeChecked.ts';
+import { originAnswerSchema, originQuerySchema, streamOriginsSchema } from '../_originMessages.ts';
 
 const countSchema = z.number().check(z.nonnegative());
 
@@ -41,9 +42,15 @@
 /** Reports how many of the entry's requests currently use an adapter. */
 const useSchema = z.object({ kind: z.literal('use'), name: z.string(), count: countSchema });
 
-const entryMessageSchema = z.discriminatedUnion('kind', [helloSchema, wantSchema, useSchema]);
+const entryMessageSchema = z.discriminatedUnion('kind', [
+  helloSchema,
+  wantSchema,
+  useSchema,
+  streamOriginsSchema,
+  originQuerySchema,
+]);
 
-const keeperMessageSchema = z.object({
+const stateSchema = z.object({
   kind: z.literal('state'),
   // Absent if unchanged since the previous message.
   holdings: z.optional(z.readonly(z.array(holdingSchema))),
@@ -57,6 +64,8 @@
   fencingToken: countSchema,
 });
 
+const keeperMessageSchema = z.discriminatedUnion('kind', [stateSchema, originAnswerSchema]);
+
 /** A message from an entry to a keeper. */
 export type EntryMessage = Readonly<z.infer<typeof entryMessageSchema>>;
 
