Test leaving servers and what elders tell after the end of all entries

A server's word that it leaves is lost with them.

Entries that have all started again learn the word from the server's first answer: no request later than the bound of 2 s. An entry that has just started is told at once by one that has watched for a minute.

--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -354,8 +354,9 @@
   originLookedUp: {
     number: 'HS8037',
     level: 'info',
-    message: 'Other entries were asked at which software version a stream began',
-    remedy: 'Without a version: look for the end of the entry that began the stream',
+    message: 'Keepers and other entries were asked at which software version a stream began',
+    remedy:
+      'Without a version: look for the end of the entry that began the stream, and of its keepers',
   },
 } as const satisfies Readonly<Record<string, LogEvent>>;
 
--- a/programs/serving/leavingServer.test.ts
+++ b/programs/serving/leavingServer.test.ts
@@ -93,6 +93,28 @@
     { kind: 'streams of a model', path: '/draft/', isStream: true, model: 'm' },
   ];
 
+  it('gets no request after some time from entries that have all ended and started again', async () => {
+    const [leaving] = fleet.servers;
+    leaving!.leavingWord = '1';
+    await play('/look/', 600);
+    expect(leaving!.received).to.not.have.length(0);
+    await fleet.endEntries();
+    const started = await Promise.all([0, 1, 2].map(() => fleet.addEntry()));
+    const startedAt = performance.now();
+    const calls: Promise<CallerResult>[] = [];
+    while (performance.now() < startedAt + DRAIN_MS + 500) {
+      started.forEach((entry, index) => {
+        const id = `again${index}-${calls.length}`;
+        calls.push(entry.call({ id, path: `/look/${id}`, headers: {} }));
+      });
+      await sleep(SENDING_INTERVAL_MS);
+    }
+    const results = await Promise.all(calls);
+    expect(results.filter(({ status }) => status !== 200)).to.have.length(0);
+    const late = leaving!.received.filter(({ at }) => at > startedAt + DRAIN_MS);
+    expect(late).to.have.length(0);
+  });
+
   kinds.forEach(({ kind, path, isStream, model }) => {
     function serversOfKind(): readonly BackendServerStandin[] {
       return isStream ? fleet.servers.slice(4) : fleet.servers.slice(0, 4);
--- a/tasks/gateway/originTask.test.ts
+++ b/tasks/gateway/originTask.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { StreamKey } from '../../core/streamOrigins/mod.ts';
+import type { StreamKey, VersionSummary } from '../../core/streamOrigins/mod.ts';
 import { decodePeerMessage } from './_peerMessages.ts';
 import { OriginTask } from './originTask.ts';
 import { FakeNetwork } from './testing/fakeNetwork.ts';
@@ -14,6 +14,8 @@
   readonly task: OriginTask;
   /** Results of its questions, by request id. */
   readonly results: Map<string, string | undefined>;
+  /** What those that did not know an answer have seen of the service. */
+  readonly summaries: readonly VersionSummary[];
 };
 
 /** Entries that know each other, on a virtual network. */
@@ -29,19 +31,26 @@
     Array.from({ length: count }, (_, index) => this.start(`e${index}`));
   }
 
-  start(name: string): Node {
+  start(
+    name: string,
+    summary: VersionSummary = { versions: ['v1', 'v2'], isComplete: false },
+  ): Node {
     const { network } = this;
     const results = new Map<string, string | undefined>();
+    const summaries: VersionSummary[] = [];
     const task = new OriginTask({
       self: name,
       processName: `${name} ${this.nodes.length}`,
       peers: () => this.live.filter((each) => each !== name),
       keepers: () => ({ all: () => [], isOpen: () => false, send: () => undefined }),
-      summaryOf: () => ({ versions: ['v1', 'v2'], isComplete: false }),
+      summaryOf: () => summary,
       clock: network.clock,
       dial: network.dialFrom(name),
       log: () => undefined,
-      onResult: ({ requestId }, { version }) => results.set(requestId, version),
+      onResult: ({ requestId }, { version, seen }) => {
+        results.set(requestId, version);
+        summaries.push(...seen);
+      },
     });
     network.listen(name, (connection) => ({
       opened: () => undefined,
@@ -59,7 +68,7 @@
       closed: () => undefined,
     }));
     task.start();
-    const node = { name, task, results };
+    const node = { name, task, results, summaries };
     this.nodes.push(node);
     if (!this.live.includes(name)) this.live.push(name);
     return node;
@@ -174,6 +183,18 @@
     expect(ask(entries, second!, [1])).to.deep.equal({ known: 1, wrong: 0 });
   });
 
+  it('tells one that has just started what it has seen, at once if it has watched for long enough', () => {
+    const entries = new Entries(1);
+    entries.network.run(2000);
+    const summary = { versions: ['v1'], isComplete: true };
+    entries.start('elder', summary);
+    const young = entries.start('young', { versions: ['v1'], isComplete: false });
+    young.task.lookUp({ service: SERVICE, requestId: 'r1' });
+    entries.network.run(100);
+    expect(young.results.has('r1')).to.equal(true);
+    expect(young.summaries).to.deep.include(summary);
+  });
+
   it('forgets origins after a minute', () => {
     const entries = new Entries(1);
     const [only] = entries.nodes;
