Let no entry that is cut off decide that there is one version

Callers could see: an entry cut off from the others while servers of a new version start continues a stream of the new version at the old one, since its own long history knows only that.

Change: what an entry does not know itself it always asks; the only version that anybody saw counts only if most of those asked have answered. An answer that confirms the only version ends the question at once.

--- a/core/streamOrigins/originLookup.ts
+++ b/core/streamOrigins/originLookup.ts
@@ -20,6 +20,8 @@
   readonly version: string | undefined;
   /** What processes that do not know it have seen of the service. */
   readonly seen: readonly VersionSummary[];
+  /** Whether most of the processes that were asked have answered; also if there are none. */
+  readonly hasMajority: boolean;
 };
 
 /** Options of `OriginLookup`. */
@@ -27,6 +29,8 @@
   /** Returns the other processes that may know where a stream began. */
   readonly holdersOf: (key: StreamKey) => readonly string[];
   readonly ask: (holder: string, query: OriginQuery) => void;
+  /** Returns the version that this process itself takes for the only one of the service, if any. */
+  readonly onlyVersionOf: (key: StreamKey) => string | undefined;
   /** Called once for each question. */
   readonly onResult: (key: StreamKey, result: OriginResult) => void;
 };
@@ -134,10 +138,15 @@
         this.#options.ask(holder, query);
       });
     const haveAllAnswered = asked.size === ignorant.size + knowing.size;
-    const waitsUntil = this.#waitsUntil(pending);
-    if (now >= waitsUntil || (haveAllAnswered && this.#isConclusive(pending, now))) {
-      this.#finish(pending);
-    }
+    const isSettled =
+      (haveAllAnswered && this.#isConclusive(pending, now)) || this.#isCorroborated(pending);
+    if (isSettled || now >= this.#waitsUntil(pending)) this.#finish(pending);
+  }
+
+  /** Whether the only version that this process has seen is confirmed, so that no other can be right. */
+  #isCorroborated({ query, versions }: Pending): boolean {
+    const [version] = versions;
+    return versions.size === 1 && version === this.#options.onlyVersionOf(query);
   }
 
   /** Returns when a question ends without the missing answers. */
@@ -155,11 +164,13 @@
     );
   }
 
-  #finish({ query, ignorant, versions }: Pending): void {
+  #finish({ query, asked, ignorant, knowing, versions }: Pending): void {
     if (!this.#pending.delete(query.number)) return;
-    const [version] = versions;
+    const isContradictory = versions.size > 1;
+    const [version] = isContradictory ? [] : versions;
     const seen = [...ignorant.values()].filter((summary) => summary !== undefined);
-    if (versions.size > 1) this.#options.onResult(query, { version: undefined, seen: [] });
-    else this.#options.onResult(query, { version, seen });
+    const answered = ignorant.size + knowing.size;
+    const hasMajority = !isContradictory && (asked.size === 0 || answered > asked.size / 2);
+    this.#options.onResult(query, { version, seen, hasMajority });
   }
 }
--- a/core/streamOrigins/streamOrigins.test.ts
+++ b/core/streamOrigins/streamOrigins.test.ts
@@ -142,18 +142,23 @@
 });
 
 describe('OriginLookup', () => {
-  function createLookup(holders: readonly string[]) {
+  function createLookup(holders: readonly string[], onlyVersion?: string) {
     const asked: string[] = [];
     const results: (string | undefined)[] = [];
+    const majorities: boolean[] = [];
     const lookup = new OriginLookup(
       {
         holdersOf: () => holders,
+        onlyVersionOf: () => onlyVersion,
         ask: (holder) => asked.push(holder),
-        onResult: (_key, { version }) => results.push(version),
+        onResult: (_key, { version, hasMajority }) => {
+          results.push(version);
+          majorities.push(hasMajority);
+        },
       },
       0,
     );
-    return { lookup, asked, results };
+    return { lookup, asked, results, majorities };
   }
 
   it('does not know a stream of which processes tell several versions', () => {
@@ -166,6 +171,25 @@
     expect(results).to.deep.equal([undefined]);
   });
 
+  it('ends at once with the version that its own process takes for the only one', () => {
+    const { lookup, results } = createLookup(['a', 'b'], 'v1');
+    lookup.begin({ service: 's', requestId: 'r' }, 5000);
+    lookup.applyAnswer('b', { number: 1, version: 'v1' }, 5010);
+    expect(results).to.deep.equal(['v1']);
+  });
+
+  it('tells whether most of those that were asked have answered', () => {
+    const { lookup, majorities } = createLookup(['a', 'b', 'c', 'd']);
+    lookup.begin({ service: 's', requestId: 'r' }, 5000);
+    lookup.applyAnswer('a', { number: 1 }, 5010);
+    lookup.applyAnswer('b', { number: 1 }, 5010);
+    lookup.tick(5500);
+    lookup.begin({ service: 's', requestId: 'r' }, 6000);
+    ['a', 'b', 'c'].forEach((name) => lookup.applyAnswer(name, { number: 2 }, 6010));
+    lookup.tick(6500);
+    expect(majorities).to.deep.equal([false, true]);
+  });
+
   it('ends with the version soon after the first answer, though others do not answer', () => {
     const { lookup, results } = createLookup(['a', 'b']);
     lookup.begin({ service: 's', requestId: 'r' }, 5000);
--- a/tasks/gateway/_streamVersions.ts
+++ b/tasks/gateway/_streamVersions.ts
@@ -70,13 +70,13 @@
    * entries, and dispatches or refuses the request later.
    */
   isKnown(request: OpenRequest): boolean {
-    const { head, service, streamVersion } = request;
+    const { head, streamVersion } = request;
     const { resumes, lastEventId } = head;
     if (streamVersion !== undefined || (resumes === undefined && lastEventId === undefined)) {
       return true;
     }
     const key = keyOf(request, resumes ?? '');
-    const version = this.origins.versionOf(key) ?? agreedVersion([this.#summaryOf(service.name)]);
+    const version = this.origins.versionOf(key);
     if (version === undefined) {
       this.#await(request, key);
       return false;
@@ -113,10 +113,12 @@
     this.origins.lookUp(key);
   }
 
-  #handleResult(key: StreamKey, { version: found, seen }: OriginResult): void {
+  #handleResult(key: StreamKey, { version: found, seen, hasMajority }: OriginResult): void {
     const { dispatch, refuse, log, metrics } = this.#options;
     const name = nameOf(key);
-    const version = found ?? agreedVersion([this.#summaryOf(key.service), ...seen]);
+    // An entry that is cut off from most others may have missed a version.
+    const agreed = hasMajority ? agreedVersion([this.#summaryOf(key.service), ...seen]) : undefined;
+    const version = found ?? agreed;
     const requests = this.#waiting.get(name) ?? new Set();
     this.#waiting.delete(name);
     const result = found === undefined ? 'unknown' : 'known';
--- a/tasks/gateway/originTask.ts
+++ b/tasks/gateway/originTask.ts
@@ -1,5 +1,6 @@
 import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
 import {
+  agreedVersion,
   chooseAsked,
   chooseOriginHolders,
   OriginLedger,
@@ -88,6 +89,7 @@
     this.#lookup = new OriginLookup(
       {
         holdersOf: (key) => this.#askedFor(key),
+        onlyVersionOf: ({ service }) => agreedVersion([options.summaryOf(service)]),
         ask: (holder, query) => this.#ask(holder, query),
         onResult: options.onResult,
       },
