Test limits and crashing requests after the end of all entries

Traits of requests that crash servers are lost when all entries end at once.

Change: tests only. A limit of one request a second, with answers that take 200 ms, is kept by three entries that have all started again.

--- a/programs/serving/crashingPart.test.ts
+++ b/programs/serving/crashingPart.test.ts
@@ -39,9 +39,15 @@
     return fleet.servers.reduce((sum, { crashCount: count }) => sum + count, 0);
   }
 
-  async function playRound(number: number, path: string, model?: string): Promise<Round> {
+  async function playRound(
+    number: number,
+    path: string,
+    model?: string,
+    firstEntry = 0,
+  ): Promise<Round> {
+    const entries = fleet.entries.slice(firstEntry);
     const send = (entry: number, id: string, parts: readonly string[]): Promise<CallerResult> =>
-      fleet.entries[entry]!.call({
+      entries[entry]!.call({
         id,
         path: `${path}${id}`,
         headers: {
@@ -52,12 +58,12 @@
         // The gateway aborts streams that no server can complete.
         .catch(() => ({ status: 0, headers: {}, body: '', isComplete: false }));
     const common = ['aa', `b${number % 4}`];
-    const sound = fleet.entries.flatMap((_, entry) =>
+    const sound = entries.flatMap((_, entry) =>
       Array.from({ length: SOUND_REQUESTS_PER_ENTRY }, (__, index) =>
         send(entry, `s${number}-${entry}-${index}`, ['aa', `b${(number + index) % 4}`]),
       ),
     );
-    const crashing = send(number % fleet.entries.length, `c${number}`, [...common, CRASHING_PART]);
+    const crashing = send(number % entries.length, `c${number}`, [...common, CRASHING_PART]);
     const round = { crashing: await crashing, sound: await Promise.all(sound) };
     await Promise.all(fleet.servers.map(({ restarted }) => restarted));
     return round;
@@ -108,4 +114,18 @@
     expect(result.status).to.equal(503);
     expect(arrivalCount()).to.equal(before);
   });
+
+  it('are rejected by entries that have all ended and started again', async () => {
+    for (let number = 0; number < ROUNDS; number += 1) {
+      await playRound(number, '/look/');
+    }
+    const before = arrivalCount();
+    const ended = fleet.entries.length;
+    await fleet.endEntries();
+    await Promise.all([0, 1, 2].map(() => fleet.addEntry()));
+    for (let number = 0; number < ROUNDS; number += 1) {
+      await playRound(ROUNDS + number, '/look/', undefined, ended);
+    }
+    expect(arrivalCount() - before).to.be.at.most(3);
+  });
 });
--- a/programs/serving/serverLimit.test.ts
+++ b/programs/serving/serverLimit.test.ts
@@ -125,6 +125,27 @@
     expect(known[0]!.arrivals).to.have.length(1);
   });
 
+  it('gets no more than it takes from entries that have all ended and started again', async () => {
+    const [server] = fleet.servers;
+    server!.namedLimit = '1.0';
+    server!.delayMs = 200;
+    const namedAt = performance.now();
+    await play('/look/');
+    await fleet.endEntries();
+    const started = await Promise.all([0, 1, 2].map(() => fleet.addEntry()));
+    const results: Promise<CallerResult>[] = [];
+    const startedAt = performance.now();
+    while (performance.now() < startedAt + WINDOW_MS) {
+      started.forEach((entry, index) => {
+        const id = `again${results.length}-${index}`;
+        results.push(entry.call({ id, path: `/look/${id}` }));
+      });
+      await sleep(SENDING_INTERVAL_MS);
+    }
+    await Promise.all(results);
+    expect(worstWindow(server!, namedAt)).to.be.at.most(allowedIn(1));
+  });
+
   /** Sends requests to an entry until a server has named its limit to it. */
   async function nameLimit(
     server: BackendServerStandin,
