Keep what entries tell each other at the processes beside the servers

Callers could see: after the end of all entries, requests that crash every server reached 12 more of them, where three may.

Cause: the same class as the streams: what requests crash servers, limits and notices were known to entries only, and were believed absent after all of them had ended.

Schemas of facts stand once, for digests and for copies.

--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '../../core/clock/mod.ts';
-import type { ServerChoice } from '../../core/dispatch/mod.ts';
+import type { AttemptOutcome, ServerChoice, ServerView } from '../../core/dispatch/mod.ts';
 import type { Deployment } from '../../core/serving/mod.ts';
 import type { LogFields } from '../../log/mod.ts';
 import type { RequestArrival } from '../../http/mod.ts';
@@ -118,3 +118,18 @@
     lost: requests.slice(0, MAX_LISTED_REQUESTS).map(formatLost).join(' '),
   };
 }
+
+/** Returns the log fields of an attempt that has ended without a complete response; `view` is its server. */
+export function describeSendingEnd(
+  { head, sentAt }: OpenRequest,
+  view: ServerView | undefined,
+  ended: { readonly outcome: AttemptOutcome; readonly detail: string; readonly now: Milliseconds },
+): LogFields {
+  return {
+    request: head.requestId,
+    server: view?.server.id,
+    end: ended.outcome,
+    detail: ended.detail,
+    tookMs: Math.round(ended.now - sentAt),
+  };
+}
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -1,11 +1,9 @@
 import * as z from 'zod/mini';
 import type { Milliseconds } from '../../core/clock/mod.ts';
 import { decodeChecked, encodeMessagePack } from '../_decodeChecked.ts';
+import { countSchema, factSchemas, limitSchema } from '../_factMessages.ts';
 import { originAnswerSchema, originQuerySchema, streamOriginsSchema } from '../_originMessages.ts';
 
-/** Longest trait; longer values are hashed by their sender. */
-const MAX_TRAIT_LENGTH = 100;
-
 /** Longest wait for a permit that an entry may ask for. */
 const MAX_PERMIT_WAIT_MS: Milliseconds = 60_000;
 
@@ -24,53 +22,6 @@
   asOf: z.number(),
 });
 
-// A negative age would be in the future, and never expire.
-const ageSchema = z.number().check(z.nonnegative());
-
-const countSchema = z.int().check(z.nonnegative());
-
-const traitSchema = z.string().check(z.maxLength(MAX_TRAIT_LENGTH));
-
-const quarantineSchema = z.object({
-  ends: z.readonly(
-    z.array(
-      z.object({
-        id: z.string(),
-        server: z.string(),
-        service: z.string(),
-        ageMs: ageSchema,
-        traits: z.readonly(z.array(traitSchema)),
-      }),
-    ),
-  ),
-  clearances: z.readonly(z.array(z.object({ trait: traitSchema, ageMs: ageSchema }))),
-  verdicts: z.readonly(
-    z.array(
-      z.object({
-        trait: traitSchema,
-        endCount: countSchema,
-        trialCount: countSchema,
-        isDoubtful: z.boolean(),
-        ageMs: ageSchema,
-      }),
-    ),
-  ),
-});
-
-const limitSchema = z.object({
-  server: z.string(),
-  perSecond: z.number().check(z.positive()),
-  isEnded: z.boolean(),
-  ageMs: ageSchema,
-});
-
-const noticeSchema = z.object({
-  id: z.string(),
-  bornAt: z.number(),
-  isLeaving: z.boolean(),
-  pauseLeftMs: z.number().check(z.nonnegative()),
-});
-
 /** A request for a permit to send a server with a limit one request. */
 const permitRequestSchema = z.object({
   kind: z.literal('permit-request'),
@@ -126,14 +77,8 @@
   members: z.readonly(z.array(z.readonly(z.tuple([z.string(), z.number()])))),
   // Revisions of the sender's mirrors, by key prefix.
   asOf: z.record(z.string(), revisionSchema),
-  // What the sender learned, since its last digest on this connection, about requests that crash servers.
-  quarantine: z.optional(quarantineSchema),
-  // The same about single requests that do; absent from older builds.
-  requests: z.optional(quarantineSchema),
-  // The same about the limits of servers; absent from older builds.
-  limits: z.optional(z.readonly(z.array(limitSchema))),
-  // What servers say of themselves; absent from older builds.
-  notices: z.optional(z.readonly(z.array(noticeSchema))),
+  // What the sender learned since its last digest on this connection; kinds are absent from older builds.
+  ...factSchemas,
 });
 
 const peerMessageSchema = z.discriminatedUnion('kind', [
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -14,7 +14,9 @@
 import type { Log } from '../../log/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 import { KeeperLinks } from './keeperLinks.ts';
-import type { OriginKeepers, OriginTask } from './originTask.ts';
+import type { FactKeeping } from './_factKeeping.ts';
+import type { OriginTask } from './originTask.ts';
+import type { ServerKeepers } from './serverKeepers.ts';
 
 /** Options of `ServerTable`. */
 export type ServerTableOptions = {
@@ -35,6 +37,8 @@
   readonly onServerRestarted: (id: string) => void;
   /** Returns the task that asks keepers where streams began. */
   readonly origins: () => Pick<OriginTask, 'askAgain' | 'applyAnswer'>;
+  /** Returns the task that has keepers keep what entries tell each other. */
+  readonly facts: () => Pick<FactKeeping, 'noteOpen' | 'apply'>;
   /** Called when a server has been removed. */
   readonly onServerRemoved: (id: string) => void;
 };
@@ -72,7 +76,9 @@
       onOpen: (address) => {
         this.#sendUses(address);
         options.origins().askAgain(address);
+        options.facts().noteOpen(address);
       },
+      onFacts: (facts) => options.facts().apply(facts),
       onOriginAnswer: (address, answer) => options.origins().applyAnswer(address, answer),
     });
   }
@@ -97,12 +103,12 @@
     return [...this.#views.values()].map(({ server }) => server);
   }
 
-  /** The keepers of the known engines, as those that keep where streams began. */
-  get originKeepers(): OriginKeepers {
+  /** The keepers of the known engines, as those that keep what must outlive the entries. */
+  get keepers(): ServerKeepers {
     return {
-      all: () => this.#keepers(),
+      all: () => this.#listKeepers(),
       isOpen: (address) => this.#links.isOpen(address),
-      send: (address, message) => this.#links.sendOrigins(address, message),
+      send: (address, message) => this.#links.sendToKeep(address, message),
     };
   }
 
@@ -178,7 +184,7 @@
     return connections;
   }
 
-  #keepers(): readonly ServerKeeper[] {
+  #listKeepers(): readonly ServerKeeper[] {
     return [...this.#views.values()]
       .filter(({ server }) => this.#options.engineOf(server.service) !== undefined)
       .map(({ server }) => ({
--- a/tasks/gateway/_streamVersions.ts
+++ b/tasks/gateway/_streamVersions.ts
@@ -8,7 +8,7 @@
 import type { Dial } from '../ports/mod.ts';
 import type { OpenRequest } from './_openRequest.ts';
 import { OriginTask } from './originTask.ts';
-import type { OriginKeepers } from './originTask.ts';
+import type { ServerKeepers } from './serverKeepers.ts';
 
 /** Options of `StreamVersions`. */
 export type StreamVersionsOptions = {
@@ -23,7 +23,7 @@
   /** Returns the names of the other live entries. */
   readonly peers: () => readonly string[];
   /** Returns the keepers of the known engines. */
-  readonly keepers: () => OriginKeepers;
+  readonly keepers: () => ServerKeepers;
   /** Chooses a server for a request and sends it. */
   readonly dispatch: (request: OpenRequest) => void;
   /** Refuses a request that must be begun anew. */
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -14,11 +14,12 @@
 import { respondLocally } from './_respondLocally.ts';
 import { scheduleAttemptTimeout } from './_attemptTimeout.ts';
 import { CrashGuard } from './_crashGuard.ts';
-import { describeArrival, describeChoice } from './_describeRequest.ts';
+import { describeArrival, describeChoice, describeSendingEnd } from './_describeRequest.ts';
 import { maxWaitBeforeSending, openRequest } from './_openRequest.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
 import { clearAwaitingFirstByte, forwardResponse } from './_forwardResponse.ts';
 import { LimitGate } from './_limitGate.ts';
+import { FactKeeping } from './_factKeeping.ts';
 import { outboundRequest } from './_outboundRequest.ts';
 import { PauseWaits } from './_pauseWaits.ts';
 import { QuarantineGate } from './_quarantineGate.ts';
@@ -100,6 +101,8 @@
 
   readonly #endings: RequestEndings;
 
+  readonly #facts: FactKeeping;
+
   #deployment: Deployment | undefined;
 
   #cancelTick: Cancellation | undefined;
@@ -114,9 +117,11 @@
       incarnation: options.entryId,
       peers: options.peerNames,
       reach: options.peerReach,
-      onChange: options.onSharedChange,
+      onChange: () => this.#facts.noteChange(),
+      keepers: () => this.#table.keepers,
       dispatch: (request: OpenRequest): void => this.#dispatch(request),
     };
+    this.#facts = new FactKeeping({ ...common, shared: () => this.sharedStates });
     this.#retryBudgets = new RetryBudgets(options);
     this.#health = new ServerHealth(options.clock);
     this.#endings = new RequestEndings({
@@ -143,7 +148,6 @@
     this.#adapterVersions = new AdapterVersions(options.log);
     this.#streamVersions = new StreamVersions({
       ...common,
-      keepers: () => this.#table.originKeepers,
       refuse: (request) => this.#endings.refuse(request, 'origin-unknown', undefined),
     });
     this.#hold = new StartupHold(options.clock);
@@ -156,6 +160,7 @@
         this.#streamVersions.noteServer(server);
       },
       origins: () => this.#streamVersions.origins,
+      facts: () => this.#facts,
       onServerRestarted: (id) => this.#limits.noteRestart(id),
       onServerRemoved: (id) => {
         this.#health.forget(id);
@@ -251,6 +256,7 @@
     this.#cancelTick?.();
     this.#limits.permits.close();
     this.#streamVersions.origins.close();
+    this.#facts.close();
     this.#table.close();
   }
 
@@ -485,13 +491,7 @@
     if (outcome === 'unknown' || outcome === 'failed') request.mayHaveRunCount += 1;
     else request.notRunCount += 1;
     metrics.count('sendings_ended_total', { end: outcome });
-    log('sendingEnded', {
-      request: head.requestId,
-      server: view?.server.id,
-      end: outcome,
-      detail,
-      tookMs: Math.round(clock.now() - request.sentAt),
-    });
+    log('sendingEnded', describeSendingEnd(request, view, { outcome, detail, now: clock.now() }));
     request.eventBuffer?.discardPartial();
     if (request.caller.response.hasBegun() && request.eventBuffer === undefined) {
       this.#endings.abortResponse(request);
--- a/tasks/gateway/keeperLinks.ts
+++ b/tasks/gateway/keeperLinks.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { KeeperReport } from '../../core/dispatch/mod.ts';
 import type { ModelName } from '../../core/serving/mod.ts';
+import type { FactCopy } from '../../core/factCopies/mod.ts';
 import type { OriginAnswer } from '../../core/streamOrigins/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { dispatch } from '../_handlers.ts';
@@ -8,9 +9,13 @@
 import { decodeKeeperMessage, encodeMessage } from '../keeper/mod.ts';
 import type { EntryMessage, KeeperMessage } from '../keeper/mod.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
+import type { FactCopyMessage } from '../_factMessages.ts';
 import type { OriginQueryMessage, StreamOriginsMessage } from '../_originMessages.ts';
 import type { Dial } from '../ports/mod.ts';
 
+/** What keepers keep for the entries, and the question for it. */
+export type KeptMessage = StreamOriginsMessage | OriginQueryMessage | FactCopyMessage;
+
 /** Options of `KeeperLinks`. */
 export type KeeperLinksOptions = {
   readonly clock: Clock;
@@ -22,6 +27,8 @@
   readonly onOpen: (address: string) => void;
   /** Called with the answer of a keeper where a stream began. */
   readonly onOriginAnswer: (address: string, answer: OriginAnswer) => void;
+  /** Called with facts that a keeper has kept. */
+  readonly onFacts: (facts: FactCopy) => void;
 };
 
 type Hello = Extract<EntryMessage, { kind: 'hello' }>;
@@ -84,8 +91,8 @@
     return this.#links.isOpen(address);
   }
 
-  /** Tells a keeper where streams begin, or asks it where one began. */
-  sendOrigins(address: string, message: StreamOriginsMessage | OriginQueryMessage): void {
+  /** Sends a keeper something to keep for the entries, or asks it for that. */
+  sendToKeep(address: string, message: KeptMessage): void {
     this.#links.send(address, encodeMessage(message));
   }
 
@@ -114,6 +121,7 @@
     const handlers: Handlers<KeeperMessage, void> = {
       state: (state) => this.#applyState(address, keeper, state),
       'origin-answer': ({ answer }) => this.#options.onOriginAnswer(address, answer),
+      facts: ({ facts }) => this.#options.onFacts(facts),
     };
     dispatch(handlers, message);
   }
--- a/tasks/gateway/originTask.ts
+++ b/tasks/gateway/originTask.ts
@@ -10,7 +10,6 @@
   OriginAnswer,
   OriginQuery,
   OriginResult,
-  ServerKeeper,
   StreamKey,
   StreamOrigin,
   VersionSummary,
@@ -20,17 +19,10 @@
 import type { Handlers } from '../_handlers.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
 import { groupOrigins, noteOrigins } from '../_originMessages.ts';
-import type { OriginQueryMessage, StreamOriginsMessage } from '../_originMessages.ts';
 import type { Dial } from '../ports/mod.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
 import type { OriginMessage } from './_peerMessages.ts';
-
-/** The links to the processes beside the servers. */
-export type OriginKeepers = {
-  readonly all: () => readonly ServerKeeper[];
-  readonly isOpen: (address: string) => boolean;
-  readonly send: (address: string, message: StreamOriginsMessage | OriginQueryMessage) => void;
-};
+import type { ServerKeepers } from './serverKeepers.ts';
 
 /** Options of `OriginTask`. */
 export type OriginTaskOptions = {
@@ -41,7 +33,7 @@
   /** Returns the addresses of the other live entries. */
   readonly peers: () => readonly string[];
   /** Returns the keepers, and the links to them. */
-  readonly keepers: () => OriginKeepers;
+  readonly keepers: () => ServerKeepers;
   readonly clock: Clock;
   readonly dial: Dial;
   readonly log: Log;
--- a/tasks/gateway/originsWithKeepers.test.ts
+++ b/tasks/gateway/originsWithKeepers.test.ts
@@ -6,7 +6,7 @@
 import { noteOrigins } from '../_originMessages.ts';
 import { decodePeerMessage } from './_peerMessages.ts';
 import { OriginTask } from './originTask.ts';
-import type { OriginKeepers } from './originTask.ts';
+import type { ServerKeepers } from './serverKeepers.ts';
 import { FakeNetwork } from './testing/fakeNetwork.ts';
 
 const SERVICE = 'llm';
@@ -187,7 +187,7 @@
       address: string,
       answer: { readonly number: number; readonly version: string | undefined },
     ) => void,
-  ): OriginKeepers {
+  ): ServerKeepers {
     const { network } = this;
     const isReachable = (address: string): boolean =>
       !network.partitioned.has(address) && !network.partitioned.has(entry);
@@ -208,6 +208,7 @@
             noteOrigins(keeper.ledger, message, now);
             return;
           }
+          if (message.kind !== 'origin-query') return;
           const { number } = message.query;
           const version = keeper.ledger.find(message.query, now)?.version;
           deliver(address, () => onAnswer(address, { number, version }));
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -13,8 +13,8 @@
 /** The record mirrors that entries keep in sync, by key prefix. */
 export type Mirrors = ReadonlyMap<string, RecordMirror>;
 
-/** The kinds of shared state; each is a field of the digest. */
-const SHARED_KINDS = ['quarantine', 'requests', 'limits', 'notices'] as const;
+/** The kinds of shared state; each is a field of the digest, and of the copies that keepers keep. */
+export const SHARED_KINDS = ['quarantine', 'requests', 'limits', 'notices'] as const;
 
 type SharedKind = (typeof SHARED_KINDS)[number];
 
--- a/tasks/keeper/keeper.ts
+++ b/tasks/keeper/keeper.ts
@@ -5,6 +5,7 @@
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { EngineOrder, EngineReport, OrderAnswer } from '../../platform/mod.ts';
+import { FactCopies } from '../../core/factCopies/mod.ts';
 import { OriginLedger } from '../../core/streamOrigins/mod.ts';
 import { dispatch } from '../_handlers.ts';
 import type { Handlers } from '../_handlers.ts';
@@ -64,7 +65,7 @@
 
 /**
  * Manages one engine: only it sends load and unload orders, and it reports to the entries. It also keeps
- * where streams began, since it lives on when entries end.
+ * where streams began and what the entries tell each other, since it lives on when entries end.
  */
 export class Keeper {
   readonly #options: KeeperOptions;
@@ -76,6 +77,9 @@
   /** Where streams began, kept for the entries, which may all end at once. */
   readonly #origins = new OriginLedger();
 
+  /** What the entries tell each other, kept for the same reason. */
+  readonly #facts = new FactCopies();
+
   #report: EngineReport | undefined;
 
   /** Holdings of the last report as one string, compared to detect changes per link. */
@@ -145,6 +149,7 @@
       },
       use: ({ name, count }) =>
         this.#scheduler.setUseCount(link.entryId, name, count, this.#options.clock.now()),
+      facts: ({ facts }) => this.#facts.keep(link.entryId, facts, this.#options.clock.now()),
       'stream-origins': (origins) => noteOrigins(this.#origins, origins, this.#options.clock.now()),
       'origin-query': ({ query }) => {
         const version = this.#origins.find(query, this.#options.clock.now())?.version;
@@ -156,6 +161,11 @@
   }
 
   #receiveHello(link: Link, hello: Extract<EntryMessage, { kind: 'hello' }>): void {
+    if (link.entryId === '') {
+      this.#facts
+        .copiesFor(hello.entry, this.#options.clock.now())
+        .forEach((facts) => link.connection.send(encodeMessage({ kind: 'facts', facts })));
+    }
     link.entryId = hello.entry;
     this.#links.add(link);
     this.#scheduler.applyEngine(hello.engine);
--- a/tasks/keeper/messages.test.ts
+++ b/tasks/keeper/messages.test.ts
@@ -28,17 +28,31 @@
   fencingToken: 7,
 };
 
+const LIMIT = { server: 'i-1', perSecond: 2, isEnded: false, ageMs: 10 };
+
+const FACTS: EntryMessage & KeeperMessage = { kind: 'facts', facts: { limits: [LIMIT] } };
+
 describe('keeper and entry messages', () => {
   it('decode to what was encoded', () => {
     const messages: readonly EntryMessage[] = [
       HELLO,
       { kind: 'want', name: 'm/a1', version: 2, waitMs: 300 },
       { kind: 'use', name: 'm/a1', count: 0 },
+      { kind: 'stream-origins', by: 'e1', groups: [['llm', 'v1', ['r1', 'r2']]] },
+      { kind: 'origin-query', query: { service: 'llm', requestId: 'r1', number: 4 } },
+      FACTS,
     ];
     messages.forEach((message) => {
       expect(decodeEntryMessage(encodeMessage(message))).to.deep.equal(message);
     });
-    expect(decodeKeeperMessage(encodeMessage(STATE))).to.deep.equal(STATE);
+    const replies: readonly KeeperMessage[] = [
+      STATE,
+      { kind: 'origin-answer', answer: { number: 4, version: 'v1' } },
+      FACTS,
+    ];
+    replies.forEach((message) => {
+      expect(decodeKeeperMessage(encodeMessage(message))).to.deep.equal(message);
+    });
   });
 
   it('are rejected when a field is missing, mistyped or negative, or the direction is wrong', () => {
@@ -49,6 +63,9 @@
       { ...HELLO, bornAt: '1000' },
       { ...HELLO, kind: 'hullo' },
       { kind: 'use', name: 'm/a1', count: -1 },
+      { kind: 'stream-origins', by: 'e1', groups: [['llm', 'v1', ['r'.repeat(201)]]] },
+      { kind: 'origin-query', query: { service: 'llm', requestId: 'r1', number: -4 } },
+      { kind: 'facts', facts: { limits: [{ ...LIMIT, ageMs: -1 }] } },
       STATE,
     ];
     invalid.forEach((message) => {
--- a/tasks/keeper/messages.ts
+++ b/tasks/keeper/messages.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod/mini';
 import { decodeChecked, encodeMessagePack } from '../_decodeChecked.ts';
+import { factCopySchema } from '../_factMessages.ts';
 import { originAnswerSchema, originQuerySchema, streamOriginsSchema } from '../_originMessages.ts';
 
 const countSchema = z.number().check(z.nonnegative());
@@ -48,6 +49,7 @@
   useSchema,
   streamOriginsSchema,
   originQuerySchema,
+  factCopySchema,
 ]);
 
 const stateSchema = z.object({
@@ -64,7 +66,11 @@
   fencingToken: countSchema,
 });
 
-const keeperMessageSchema = z.discriminatedUnion('kind', [stateSchema, originAnswerSchema]);
+const keeperMessageSchema = z.discriminatedUnion('kind', [
+  stateSchema,
+  originAnswerSchema,
+  factCopySchema,
+]);
 
 /** A message from an entry to a keeper. */
 export type EntryMessage = Readonly<z.infer<typeof entryMessageSchema>>;
