Test streams of one version, entries without keepers, and frozen entries

After the end of all entries streams go on where there has been one version only and keepers serve; without keepers they are refused at once without Retry-After. Entries that stood still while others began streams know them.

--- a/programs/serving/allEntriesEnd.test.ts
+++ b/programs/serving/allEntriesEnd.test.ts
@@ -34,11 +34,11 @@
 describe('streams when all entries end at once and start again', () => {
   let fleet: EntryFleet;
 
-  async function start(): Promise<void> {
+  async function start(keepers = 3): Promise<void> {
     fleet = await startEntryFleet({
       entries: 3,
       plainServers: 2 * SERVERS_OF_VERSION,
-      engines: 3,
+      engines: keepers,
       versionOf: (number) => (number < SERVERS_OF_VERSION ? 'v1' : 'v2'),
     });
     fleet.servers.forEach((server) => {
@@ -57,6 +57,20 @@
     numbers.forEach((number) => fleet.store.removeServer(`i-app-${number}`));
   }
 
+  /** Waits until an entry has learned that servers have left. */
+  async function sawLeave(entry: FleetEntry, numbers: readonly number[]): Promise<void> {
+    await Promise.all(
+      numbers.map((number) =>
+        entry.logged(
+          ({ event, fields }) =>
+            event === 'serverChanged' &&
+            fields.server === `i-app-${number}` &&
+            fields.change === 'left',
+        ),
+      ),
+    );
+  }
+
   /** Begins streams at all entries, ends the entries, starts others, and takes the streams up there. */
   async function play(options: PlayOptions): Promise<readonly Journey[]> {
     const { listed, beforeTheEnd, whileNoneRuns } = options;
@@ -128,17 +142,7 @@
   it('do not go on at the new version when it replaces the old one while no entry runs', async () => {
     await start();
     removeServers(NEW_SERVERS);
-    const [first] = fleet.entries;
-    await Promise.all(
-      NEW_SERVERS.map((number) =>
-        first!.logged(
-          ({ event, fields }) =>
-            event === 'serverChanged' &&
-            fields.server === `i-app-${number}` &&
-            fields.change === 'left',
-        ),
-      ),
-    );
+    await sawLeave(fleet.entries[0]!, NEW_SERVERS);
     const replace = (): void => {
       removeServers(OLD_SERVERS);
       NEW_SERVERS.forEach((number) =>
@@ -148,4 +152,26 @@
     const broken = brokenOff(await play({ listed: NEW_SERVERS, whileNoneRuns: replace }));
     expect(mixedOf(broken)).to.have.length.at.most(MAX_MIXED_STREAMS);
   });
+
+  it('go on when there has been one version only', async () => {
+    await start();
+    removeServers(NEW_SERVERS);
+    await Promise.all(fleet.entries.map((entry) => sawLeave(entry, NEW_SERVERS)));
+    const broken = brokenOff(await play({ listed: OLD_SERVERS }));
+    const wentOn = broken.filter(({ resumed }) => resumed.versions.length > 0);
+    expect(wentOn.length / broken.length).to.be.at.least(MIN_SHARE_GONE_ON);
+  });
+
+  it('are refused, to be begun anew, where no process outlives the entries', async () => {
+    await start(0);
+    const broken = brokenOff(await play({ listed: [...OLD_SERVERS, ...NEW_SERVERS] }));
+    broken.forEach(({ resumed }) => {
+      expect(resumed).to.deep.equal({
+        status: 503,
+        hasRetryAfter: false,
+        eventIds: [],
+        versions: [],
+      });
+    });
+  });
 });
--- a/tasks/gateway/originsWithKeepers.test.ts
+++ b/tasks/gateway/originsWithKeepers.test.ts
@@ -143,7 +143,8 @@
     this.keepers.splice(0, Infinity, ...left);
   }
 
-  begin(count = STREAM_COUNT): void {
+  /** Begins streams at some entries. */
+  begin(count = STREAM_COUNT, entries: readonly Entry[] = this.entries): void {
     for (let number = 0; number < count; number += 1) {
       const versions = [...new Set(this.keepers.map(({ version }) => version))];
       const stream = {
@@ -151,7 +152,7 @@
         version: versions[this.pick(versions.length)]!,
       };
       this.streams.push(stream);
-      const entry = this.entries[this.pick(this.entries.length)]!;
+      const entry = entries[this.pick(entries.length)]!;
       entry.task.note(stream.key, stream.version);
       entry.task.flush();
       this.network.run(5);
@@ -311,6 +312,15 @@
         expectKnown(world.takeUp());
       });
 
+      it('are known to entries that stood still while others began the streams', () => {
+        const frozen = world.entries.filter((_, index) => index % 3 === 2);
+        frozen.forEach(({ name }) => world.network.partitioned.add(name));
+        const running = world.entries.filter((entry) => !frozen.includes(entry));
+        world.begin(STREAM_COUNT, running);
+        frozen.forEach(({ name }) => world.network.partitioned.delete(name));
+        expectKnown(world.takeUp());
+      });
+
       it('are unknown when all entries and all keepers have started again', () => {
         world.begin();
         world.keepers.forEach((keeper) => {
