--- a/tasks/gateway/_streamVersions.test.ts
+++ b/tasks/gateway/_streamVersions.test.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai';
 import type { BackendServer } from '../../core/serving/mod.ts';
-import { decodePeerMessage } from './_peerMessages.ts';
 import type { OpenRequest } from './_openRequest.ts';
 import { StreamVersions } from './_streamVersions.ts';
 import { FakeNetwork } from './testing/fakeNetwork.ts';
+import { listenForOrigins } from './testing/listenForOrigins.ts';
 
 const SERVICE = 'llm';
 
@@ -49,15 +49,7 @@
       refuse: () => outcomes.push('refused'),
     });
     names.push(name);
-    network.listen(name, (connection) => ({
-      opened: () => undefined,
-      received: (bytes) => {
-        const message = decodePeerMessage(bytes);
-        if (message?.kind !== 'origins' && message?.kind !== 'origin-query') return;
-        entry.origins.handleMessage(message, (reply) => connection.send(reply));
-      },
-      closed: () => undefined,
-    }));
+    listenForOrigins(network, name, entry.origins);
     entry.origins.start();
     versions.forEach((version) => entry.noteServer(serverOf(version)));
     return entry;
--- a/tasks/gateway/originTask.test.ts
+++ b/tasks/gateway/originTask.test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import type { StreamKey, VersionSummary } from '../../core/streamOrigins/mod.ts';
-import { decodePeerMessage } from './_peerMessages.ts';
 import { OriginTask } from './originTask.ts';
 import { FakeNetwork } from './testing/fakeNetwork.ts';
+import { listenForOrigins } from './testing/listenForOrigins.ts';
 
 const SERVICE = 'llm';
 
@@ -52,21 +52,7 @@
         summaries.push(...seen);
       },
     });
-    network.listen(name, (connection) => ({
-      opened: () => undefined,
-      received: (bytes) => {
-        const message = decodePeerMessage(bytes);
-        if (
-          message?.kind !== 'origins' &&
-          message?.kind !== 'stream-origins' &&
-          message?.kind !== 'origin-query'
-        ) {
-          return;
-        }
-        task.handleMessage(message, (reply) => connection.send(reply));
-      },
-      closed: () => undefined,
-    }));
+    listenForOrigins(network, name, task);
     task.start();
     const node = { name, task, results, summaries };
     this.nodes.push(node);
--- a/tasks/gateway/originTask.ts
+++ b/tasks/gateway/originTask.ts
@@ -141,7 +141,7 @@
     return this.#ledger.find(key, this.#options.clock.now())?.version;
   }
 
-  /** Asks the other entries where a stream began. */
+  /** Asks keepers and the other entries where a stream began. */
   lookUp(key: StreamKey): void {
     this.#lookup.begin(key, this.#options.clock.now());
   }
--- a/tasks/gateway/originsWithKeepers.test.ts
+++ b/tasks/gateway/originsWithKeepers.test.ts
@@ -4,10 +4,10 @@
 import { OriginLedger } from '../../core/streamOrigins/mod.ts';
 import type { ServerKeeper, StreamKey } from '../../core/streamOrigins/mod.ts';
 import { noteOrigins } from '../_originMessages.ts';
-import { decodePeerMessage } from './_peerMessages.ts';
 import { OriginTask } from './originTask.ts';
 import type { ServerKeepers } from './serverKeepers.ts';
 import { FakeNetwork } from './testing/fakeNetwork.ts';
+import { listenForOrigins } from './testing/listenForOrigins.ts';
 
 const SERVICE = 'llm';
 
@@ -97,21 +97,7 @@
       onResult: ({ requestId }, { version }) =>
         results.set(requestId, { version, at: network.clock.now() }),
     });
-    network.listen(name, (connection) => ({
-      opened: () => undefined,
-      received: (bytes) => {
-        const message = decodePeerMessage(bytes);
-        if (
-          message?.kind !== 'origins' &&
-          message?.kind !== 'stream-origins' &&
-          message?.kind !== 'origin-query'
-        ) {
-          return;
-        }
-        task.handleMessage(message, (reply) => connection.send(reply));
-      },
-      closed: () => undefined,
-    }));
+    listenForOrigins(network, name, task);
     task.start();
     const entry = { name, zone, task, startedAt, results };
     this.entries.push(entry);
