Report the loss of a keeper only if it has reported

Operators would see: 'keeperLost' about every two seconds from each entry while an engine does not respond, since its keeper now sends what it keeps on each new link, and no state.

Cause: what a keeper keeps counted as a report.

Change: no loss is logged of a keeper without a report.

Result: the test of it fails before and passes now.

--- a/tasks/gateway/keeperLinks.ts
+++ b/tasks/gateway/keeperLinks.ts
@@ -150,7 +150,8 @@
 
   #handleLoss(address: string, reason: string, silentMs: Milliseconds): void {
     const keeper = this.#keepers.get(address);
-    if (keeper === undefined) return;
+    // A keeper whose engine does not respond reports nothing, though it sends what it keeps.
+    if (keeper?.report === undefined) return;
     this.#options.log('keeperLost', { address, reason, silentMs: Math.round(silentMs) });
     keeper.report = undefined;
     this.#options.onReport(address, undefined);
