Stop entries in the tests of streams once all streams have begun, not by time

Cause: the test stopped the entry 1.2 s after its start, whether or not its streams had begun.

Change: the entry stops, and another starts, once all streams have begun; the same in the new test of the end of all entries. Checks and bounds are unchanged.

--- a/programs/serving/allEntriesEnd.test.ts
+++ b/programs/serving/allEntriesEnd.test.ts
@@ -24,6 +24,19 @@
 
 type Journey = { readonly begun: StreamResult; readonly resumed: StreamResult };
 
+/** Begins a stream; `begun` resolves with its first event, or when it ends without one. */
+function begin(
+  entry: FleetEntry,
+  id: string,
+): { readonly begun: Promise<unknown>; readonly ended: Promise<StreamResult> } {
+  let noteBegun: () => void = () => undefined;
+  const hasBegun = new Promise<void>((resolve) => {
+    noteBegun = resolve;
+  });
+  const ended = readStream(entry, { id, onBegun: () => noteBegun() });
+  return { begun: Promise.race([hasBegun, ended]), ended };
+}
+
 type PlayOptions = {
   /** Numbers of the plain servers that are listed when entries start again. */
   readonly listed: readonly number[];
@@ -74,15 +87,18 @@
   /** Begins streams at all entries, ends the entries, starts others, and takes the streams up there. */
   async function play(options: PlayOptions): Promise<readonly Journey[]> {
     const { listed, beforeTheEnd, whileNoneRuns } = options;
-    const begun: Promise<StreamResult>[] = [];
+    const ended: Promise<StreamResult>[] = [];
+    const begun: Promise<unknown>[] = [];
     for (let number = 0; number < STREAM_COUNT; number += 1) {
-      begun.push(readStream(fleet.entries[number % 3]!, { id: `s${number}` }));
+      const stream = begin(fleet.entries[number % 3]!, `s${number}`);
+      ended.push(stream.ended);
+      begun.push(stream.begun);
       await sleep(STREAM_INTERVAL_MS);
     }
-    await sleep(200);
+    await Promise.all(begun);
     await beforeTheEnd?.();
     await fleet.endEntries();
-    const broken = await Promise.all(begun);
+    const broken = await Promise.all(ended);
     whileNoneRuns?.();
     fleet.servers.forEach((server) => {
       server.eventIntervalMs = 5;
--- a/programs/serving/streamVersion.test.ts
+++ b/programs/serving/streamVersion.test.ts
@@ -52,24 +52,38 @@
     return readStream(entry, { id: `${id}-again`, headers });
   }
 
-  /** Begins streams at entries, drops them and takes them up at others. */
+  /**
+   * Begins streams at entries, drops them and takes them up at others.
+   *
+   * @param beforeTakingUp Called once all streams have begun; none is taken up before it has ended.
+   */
   async function play(
     beginAt: (number: number) => FleetEntry,
     takeUpAt: (number: number) => FleetEntry,
-    beforeTakingUp: Promise<unknown> = Promise.resolve(),
+    beforeTakingUp?: () => Promise<unknown>,
   ): Promise<readonly Journey[]> {
+    const begun: Promise<StreamResult>[] = [];
     const journeys: Promise<Journey>[] = [];
-    const travel = async (number: number): Promise<Journey> => {
-      const id = `s${number}`;
-      const begun = await readStream(beginAt(number), { id, dropAfter: DROP_AFTER });
+    let noteAllSent: () => void = () => undefined;
+    const allSent = new Promise<void>((resolve) => {
+      noteAllSent = resolve;
+    });
+    const prepared = allSent
+      .then(() => (beforeTakingUp === undefined ? [] : Promise.all(begun)))
+      .then(beforeTakingUp);
+    const travel = async (number: number, first: Promise<StreamResult>): Promise<Journey> => {
+      const result = await first;
       await sleep(RETURN_DELAY_MS);
-      await beforeTakingUp;
-      return { begun, resumed: await takeUp(takeUpAt(number), id) };
+      if (beforeTakingUp !== undefined) await prepared;
+      return { begun: result, resumed: await takeUp(takeUpAt(number), `s${number}`) };
     };
     for (let number = 0; number < STREAM_COUNT; number += 1) {
-      journeys.push(travel(number));
+      const first = readStream(beginAt(number), { id: `s${number}`, dropAfter: DROP_AFTER });
+      begun.push(first);
+      journeys.push(travel(number, first));
       await sleep(STREAM_INTERVAL_MS);
     }
+    noteAllSent();
     return Promise.all(journeys);
   }
 
@@ -99,25 +113,21 @@
 
   it('goes on at the version that began it when the entry that began it has stopped', async () => {
     const { entries } = fleet;
-    const hasStopped = sleep(STREAM_COUNT * STREAM_INTERVAL_MS + 300).then(() =>
-      entries[0]!.gateway.leave(),
-    );
     check(
       await play(
         () => entries[0]!,
         (number) => entries[1 + (number % 2)]!,
-        hasStopped,
+        () => entries[0]!.gateway.leave(),
       ),
     );
   });
 
   it('goes on at the version that began it when it is taken up at an entry that has just started', async () => {
     const { entries } = fleet;
-    const started = sleep(STREAM_COUNT * STREAM_INTERVAL_MS).then(() => fleet.addEntry());
     const journeys = await play(
       (number) => entries[number % 3]!,
       () => entries[3]!,
-      started,
+      () => fleet.addEntry(),
     );
     check(journeys);
   });
--- a/programs/serving/testing/readStream.ts
+++ b/programs/serving/testing/readStream.ts
@@ -16,11 +16,13 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** @default Infinity */
   readonly dropAfter?: number;
+  /** Called when the first event has arrived. */
+  readonly onBegun?: () => void;
 };
 
 /** Reads a stream from an entry until its end, or until the caller drops it. */
 export function readStream(entry: FleetEntry, call: StreamCall): Promise<StreamResult> {
-  const { id, headers = {}, dropAfter = Infinity } = call;
+  const { id, headers = {}, dropAfter = Infinity, onBegun } = call;
   return new Promise((resolve) => {
     const eventIds: number[] = [];
     const versions: string[] = [];
@@ -43,8 +45,10 @@
         response.on('data', (chunk: Buffer) => {
           text += chunk.toString('utf8');
           const events = [...text.matchAll(/id: (\d+)\ndata: (.+)\n\n/g)].slice(0, dropAfter);
+          const hadNone = eventIds.length === 0;
           eventIds.splice(0, Infinity, ...events.map(([, eventId]) => Number(eventId)));
           versions.splice(0, Infinity, ...events.map(([, , version]) => version!));
+          if (hadNone && events.length > 0) onBegun?.();
           if (events.length >= dropAfter) request.destroy();
         });
         response.on('error', () => undefined);
