--- a/review/lab/programs.mjs
+++ b/review/lab/programs.mjs
@@ -76,6 +76,13 @@
   };
 }
 
+/** The processes that run; they end with this one, however it ends. */
+const running = new Set();
+
+process.on('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+process.on('SIGTERM', () => process.exit(2));
+process.on('SIGINT', () => process.exit(2));
+
 /** A process of the project. */
 export class Program {
   constructor(role, settings, folder) {
@@ -95,8 +102,11 @@
         env: { PATH: process.env.PATH, LANG: 'C', HYSSOPSPREAD_NODE_FILE: path },
       },
     );
+    const { child } = this;
+    running.add(child);
     this.ended = new Promise((resolve) => {
-      this.child.once('exit', (code, signal) => {
+      child.once('exit', (code, signal) => {
+        running.delete(child);
         this.exit = { code, signal };
         resolve();
       });
