Review: the stand-ins beside the cases, and each case names its record

Cause: a folder under review/ that is no case, and cases whose files didn't name the record that they write. Change: lab/ is dissolved into review/; each case passes the path of its record.txt.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -13,13 +13,13 @@
   temporaryFolder,
   waitReady,
   Worker,
-} from '../lab/lab.mjs';
+} from '../lab.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const TIMEOUT_MS = 1000;
 const LENGTH_MS = 20_000;
 
-const record = new Record(import.meta.url);
+const record = new Record(new URL('record.txt', import.meta.url));
 const folder = temporaryFolder();
 const store = new Store();
 await store.listen();
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Writes record.txt here. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" || exit 2
 timeout 110 node case.mjs &
 job=$!
--- a/review/lab/base.mjs
+++ b/review/base.mjs
@@ -6,7 +6,7 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-export const REPOSITORY = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+export const REPOSITORY = join(dirname(fileURLToPath(import.meta.url)), '..');
 
 export const sleep = (ms) =>
   new Promise((resolve) => {
@@ -37,8 +37,8 @@
 
 /** The record of a case: what was sent, answered and run. */
 export class Record {
-  constructor(caseUrl) {
-    this.path = join(dirname(fileURLToPath(caseUrl)), 'record.txt');
+  constructor(fileUrl) {
+    this.path = fileURLToPath(fileUrl);
     this.beganAt = Date.now();
     writeFileSync(this.path, '');
   }
