Apply each record of the store by itself, and let no error end a repeating task

Cause: the address 127.0.0.300:8761 passed for valid, and the WebSocket library throws for it. The error left the loop over the records of an update, whose mirror was past all of them, so the records after it were never applied; and it left the tick of the gateway, which scheduled its next run at its end, so expired servers were never removed again.

Each record is applied by itself.

--- a/programs/serving/_storeRecords.ts
+++ b/programs/serving/_storeRecords.ts
@@ -3,6 +3,7 @@
 import type { Milliseconds } from '../../core/clock/mod.ts';
 import { ConfigurationAge } from '../../core/freshness/mod.ts';
 import type { Log } from '../../log/mod.ts';
+import type { Metrics } from '../../metrics/mod.ts';
 import {
   decodeAdapterRelease,
   decodeBackendServer,
@@ -29,6 +30,7 @@
   /** Learns when the configuration was known to be the newest one. */
   readonly configurationAge: ConfigurationAge;
   readonly log: Log;
+  readonly metrics: Pick<Metrics, 'count'>;
   /** Called after records have changed. */
   readonly onChange: () => void;
 };
@@ -36,6 +38,9 @@
 /** Shortest poll interval for backend servers; batches changes. A removal must apply within two seconds. */
 const SERVER_MIN_POLL_INTERVAL_MS: Milliseconds = 400;
 
+/** Characters of an error that are logged: that of a large record can be as long as the record. */
+const MAX_LOGGED_CHARACTERS = 500;
+
 /** Time for which a watch waits where a few entries read the store for all: what they tell must be fresh. */
 const READER_WATCH_WAIT_MS: Milliseconds = 400;
 
@@ -172,43 +177,60 @@
     removalGraceUntil: Milliseconds | undefined,
   ): boolean {
     const changedRecords = this.#mirrors.get(prefix)?.apply(update) ?? [];
-    changedRecords.forEach((record) => {
-      if (prefix === SERVER_PREFIX) this.#applyServer(record, removalGraceUntil);
-      else this.#applyOperatorRecord(record);
-    });
+    changedRecords.forEach((record) => this.#applyRecord(prefix, record, removalGraceUntil));
     this.readers?.noteUpdate(changedRecords.length > 0);
     if (changedRecords.length === 0) return false;
     this.#options.onChange();
     return true;
   }
 
-  #applyOperatorRecord({ key, value }: MirroredRecord): void {
-    const { gateway, log } = this.#options;
-    if (value === undefined) return;
+  /** Applies one record; an error concerns this record alone, since the mirror is past all of them. */
+  #applyRecord(
+    prefix: string,
+    record: MirroredRecord,
+    removalGraceUntil: Milliseconds | undefined,
+  ): void {
     try {
-      if (key === DEPLOYMENT_KEY) {
-        this.#isDeploymentUnreadable = true;
-        gateway.applyDeployment(decodeDeployment(value));
-        this.#isDeploymentUnreadable = false;
-      }
-      if (!key.startsWith(RELEASE_PREFIX)) return;
-      const release = decodeAdapterRelease(value);
-      if (release === undefined) log('recordUnreadable', { key });
-      else gateway.applyRelease(release.name, release.version);
+      if (prefix === SERVER_PREFIX) this.#applyServer(record, removalGraceUntil);
+      else this.#applyOperatorRecord(record);
     } catch (error) {
-      log('recordUnreadable', { key, error: String(error) });
+      this.#skip(record.key, error);
+    }
+  }
+
+  /** Logs and counts a record that is not applied. */
+  #skip(key: string, error?: unknown): void {
+    const { log, metrics } = this.#options;
+    metrics.count('records_skipped_total');
+    log('recordUnreadable', {
+      key,
+      ...(error !== undefined && { error: String(error).slice(0, MAX_LOGGED_CHARACTERS) }),
+    });
+  }
+
+  #applyOperatorRecord({ key, value }: MirroredRecord): void {
+    const { gateway } = this.#options;
+    if (value === undefined) return;
+    if (key === DEPLOYMENT_KEY) {
+      this.#isDeploymentUnreadable = true;
+      gateway.applyDeployment(decodeDeployment(value));
+      this.#isDeploymentUnreadable = false;
     }
+    if (!key.startsWith(RELEASE_PREFIX)) return;
+    const release = decodeAdapterRelease(value);
+    if (release === undefined) this.#skip(key);
+    else gateway.applyRelease(release.name, release.version);
   }
 
   #applyServer({ key, value }: MirroredRecord, removalGraceUntil: Milliseconds | undefined): void {
-    const { gateway, log } = this.#options;
+    const { gateway } = this.#options;
     const id = key.slice(SERVER_PREFIX.length);
     if (value === undefined) {
       gateway.servers.remove(id, removalGraceUntil);
       return;
     }
     const server = decodeBackendServer(id, value);
-    if (server === undefined) log('recordUnreadable', { key });
+    if (server === undefined) this.#skip(key);
     else gateway.servers.put(server);
   }
 }
--- /dev/null
+++ b/programs/serving/invalidRecords.test.ts
@@ -0,0 +1,189 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import { BackendServerStandin } from '../../platform/testing/mod.ts';
+import { startEntryFleet } from './testing/entryFleet.ts';
+import type { EntryFleet } from './testing/entryFleet.ts';
+import { startServingWorld } from './testing/servingWorld.ts';
+import type { ServingWorld } from './testing/servingWorld.ts';
+
+/** Fields of a valid record, which sorts before those of the sound servers. */
+const VALID = { address: '127.0.0.1:8761', zone: 'z1', slots: 64, state: 'ready' };
+
+const NESTED = '['.repeat(200_000) + ']'.repeat(200_000);
+
+/** Records that name no server that can be used: key and value. */
+const INVALID_RECORDS: Readonly<Record<string, readonly [string, unknown]>> = {
+  'an address of an engine that is no IP address': [
+    'servers/a',
+    { ...VALID, service: 'llm', address: '127.0.0.300:8761' },
+  ],
+  'an address that is no IP address': [
+    'servers/a',
+    { ...VALID, service: 'app', address: '127.0.0.300:8761' },
+  ],
+  'a port out of range': ['servers/a', { ...VALID, service: 'app', address: '127.0.0.1:99999' }],
+  'port 0': ['servers/a', { ...VALID, service: 'app', address: '127.0.0.1:0' }],
+  'a port of many digits': [
+    'servers/a',
+    { ...VALID, service: 'llm', address: `127.0.0.1:${'9'.repeat(400)}` },
+  ],
+  'deep nesting': [
+    'servers/a',
+    `{"service":"app","address":"127.0.0.1:8761","zone":"z1","slots":64,"state":"ready","models":${NESTED}}`,
+  ],
+  'deep nesting in a field of no meaning': [
+    'servers/a',
+    `{"service":"nobody","address":"127.0.0.1:8761","zone":"z1","slots":64,"state":"ready","other":${NESTED}}`,
+  ],
+  'a number that is infinite': [
+    'servers/a',
+    '{"service":"app","address":"127.0.0.1:8761","zone":"z1","slots":1e999,"state":"ready"}',
+  ],
+  'a number that is too large': ['servers/a', { ...VALID, service: 'app', slots: 1e300 }],
+  'a start that is too far away': ['servers/a', { ...VALID, service: 'app', born: 1e300 }],
+  'a time left that is too long': [
+    'servers/a',
+    { ...VALID, service: 'app', 'remaining-ms': 1e300 },
+  ],
+  'no text': ['servers/a', '\u0000\ufffd\u0001'],
+  'a line break in its key': ['servers/a\r\nb', { ...VALID, service: 'app' }],
+  'an empty id': ['servers/', { ...VALID, service: 'app' }],
+  'a list instead of its fields': ['servers/a', [[], {}]],
+};
+
+/** Fewer than one server takes at once. */
+const CALLS = 8;
+
+describe('a record of the store that names no usable server', () => {
+  let world: ServingWorld;
+
+  let added: BackendServerStandin;
+
+  async function start(records: Readonly<Record<string, unknown>> = {}): Promise<void> {
+    world = await startServingWorld({ graceMs: 100, records });
+    added = new BackendServerStandin({ id: 'i-app-3' });
+    await added.listen();
+  }
+
+  async function stop(): Promise<void> {
+    await world.close();
+    await added.close();
+  }
+
+  function changeOf(id: string, change: string): Promise<unknown> {
+    return world.logged(
+      ({ event, fields }) =>
+        event === 'serverChanged' && fields.server === id && fields.change === change,
+    );
+  }
+
+  async function expectServed(): Promise<void> {
+    const results = await Promise.all(
+      Array.from({ length: CALLS }, (_, number) =>
+        world.call({ id: `r${number}`, path: `/book/${number}` }),
+      ),
+    );
+    const statuses = results.map(({ status }) => status);
+    expect(statuses).to.deep.equal(Array.from({ length: CALLS }, () => 200));
+  }
+
+  function expectNoOutage(): void {
+    expect(world.lines.filter(({ event }) => event === 'storeDown')).to.deep.equal([]);
+  }
+
+  // Guards against one record that keeps its neighbours from being applied.
+  Object.entries(INVALID_RECORDS).forEach(([name, [key, value]]) => {
+    describe(`with ${name}`, () => {
+      afterEach(stop);
+
+      it('stands there when the entry starts', async () => {
+        await start({ [key]: value });
+        await expectServed();
+        world.store.putServer('i-app-3', added.record('app'));
+        await changeOf('i-app-3', 'listed');
+        expectNoOutage();
+      });
+
+      it('comes in one update with others', async () => {
+        await start();
+        // The first change ends the watch; all others come together with the next one.
+        world.store.putServer('i-app-1', world.apps[0]!.record('app'));
+        world.store.put(key, value);
+        world.store.putServer('i-app-3', added.record('app'));
+        world.store.removeServer('i-app-2');
+        await Promise.all([changeOf('i-app-3', 'listed'), changeOf('i-app-2', 'left')]);
+        expectNoOutage();
+        await expectServed();
+      });
+
+      it('comes when all records are read anew', async () => {
+        await start();
+        world.store.compact();
+        world.store.put(key, value);
+        world.store.putServer('i-app-3', added.record('app'));
+        world.store.compact();
+        await changeOf('i-app-3', 'listed');
+        await expectServed();
+      });
+    });
+  });
+
+  describe('with many of these at once', () => {
+    afterEach(stop);
+
+    // Guards against an error that ends the task which removes servers whose records have expired.
+    it('stand there through an outage in which the record of a server expires', async () => {
+      const records = Object.values(INVALID_RECORDS).map(
+        ([key, value], index) => [`${key}${index}`, value] as const,
+      );
+      await start(Object.fromEntries(records));
+      world.store.mode = 'busy';
+      await world.logged(({ event, fields }) => event === 'storeDown' && fields.prefix !== 'op/');
+      await sleep(400);
+      world.store.removeServer('i-app-2');
+      world.store.mode = 'sound';
+      await changeOf('i-app-2', 'left');
+      expect(await world.isReady()).to.equal(true);
+      await expectServed();
+    });
+  });
+
+  describe('that another entry passes on', () => {
+    let fleet: EntryFleet;
+
+    afterEach(async () => {
+      await fleet.close();
+    });
+
+    it('does not keep the records after it from an entry that does not read the store', async () => {
+      fleet = await startEntryFleet({
+        entries: 3,
+        plainServers: 3,
+        engines: 0,
+        keyWithdrawalMs: 5000,
+      });
+      fleet.store.putServer('i-app-1', fleet.servers[1]!.record('app'));
+      Object.values(INVALID_RECORDS).forEach(([key, value], index) =>
+        fleet.store.put(`${key}${index}`, value),
+      );
+      fleet.store.removeServer('i-app-2');
+      await Promise.all(
+        fleet.entries.map(({ logged }) =>
+          logged(({ fields }) => fields.server === 'i-app-2' && fields.change === 'left'),
+        ),
+      );
+      const taught = fleet.entries.flatMap(({ lines }) =>
+        lines.filter(({ event }) => event === 'peerTaught'),
+      );
+      expect(taught).to.not.have.length(0);
+      const results = await Promise.all(
+        fleet.entries.flatMap((entry, index) =>
+          [0, 1, 2, 3].map((number) =>
+            entry.call({ id: `r${index}-${number}`, path: `/book/${number}` }),
+          ),
+        ),
+      );
+      results.forEach(({ status }) => expect(status).to.equal(200));
+    });
+  });
+});
--- a/programs/serving/main.ts
+++ b/programs/serving/main.ts
@@ -23,6 +23,15 @@
 
 const USAGE_EXIT_CODE = 2;
 
+function describeError(error: Error): string {
+  return error.stack ?? String(error);
+}
+
+/** Reports an error that nothing has caught; the process goes on. */
+let reportUncaught = (error: Error): void => {
+  process.stdout.write(`${JSON.stringify({ level: 'error', message: describeError(error) })}\n`);
+};
+
 /** Drains and stops a process; one that is still starting has nothing to drain. */
 async function shutDown(running: ServingProcess | undefined): Promise<void> {
   await running?.leave();
@@ -40,6 +49,7 @@
   }
   const file = new SettingsFile(path);
   const log = createLog({ stream: 'output', fields: { role, host: file.initial.host } });
+  reportUncaught = (error) => log('internalError', { error: describeError(error) });
   let running: ServingProcess | undefined;
   process.on('SIGHUP', () => {
     file.reload().catch((error: unknown) => log('settingsWrong', { error: String(error) }));
@@ -62,9 +72,7 @@
 // The process keeps running if nobody reads its log; errors of the log stream can't be logged.
 process.stdout.on('error', () => undefined);
 
-process.on('uncaughtException', (error) => {
-  process.stdout.write(`${JSON.stringify({ level: 'error', message: String(error.stack) })}\n`);
-});
+process.on('uncaughtException', (error) => reportUncaught(error));
 
 main(process.argv[2] ?? '').catch((error: unknown) => {
   process.stderr.write(`${String(error)}\n`);
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -98,6 +98,7 @@
     gateway,
     configurationAge,
     log,
+    metrics,
     onChange: () => {
       if (gateway.deployment !== undefined) server.applyLimits(gateway.deployment.callerLimits);
     },
--- a/programs/serving/testing/servingWorld.ts
+++ b/programs/serving/testing/servingWorld.ts
@@ -68,6 +68,8 @@
   readonly graceMs?: number;
   /** Time within which revoked keys must no longer be used. @default unlimited */
   readonly keyWithdrawalMs?: number | undefined;
+  /** Further records that the store holds from the start, by key. @default none */
+  readonly records?: Readonly<Record<string, unknown>>;
 };
 
 const ENGINE_IP = '127.0.0.2';
@@ -146,13 +148,14 @@
 
 /** Starts a gateway, a keeper, and stand-ins for an engine, two plain backend servers and a store on loopback. */
 export async function startServingWorld(options: ServingWorldOptions = {}): Promise<ServingWorld> {
-  const { hasDeployment = true, graceMs = 2000, keyWithdrawalMs } = options;
+  const { hasDeployment = true, graceMs = 2000, keyWithdrawalMs, records = {} } = options;
   const store = new StoreStandin();
   const storeAddress = await store.listen();
   const engine = new BackendServerStandin({ id: 'i-engine', ip: ENGINE_IP, model: 'm' });
   const apps = ['i-app-1', 'i-app-2'].map((id) => new BackendServerStandin({ id }));
   await Promise.all([engine, ...apps].map((server) => server.listen()));
   if (hasDeployment) store.putDeployment(sampleDeployment(options));
+  Object.entries(records).forEach(([key, value]) => store.put(key, value));
   store.putServer('i-engine', engine.record('llm'));
   apps.forEach((app, index) => store.putServer(`i-app-${index + 1}`, app.record('app')));
   const { lines, log, logged } = collectLog();
--- a/proxy/backendConnections.test.ts
+++ b/proxy/backendConnections.test.ts
@@ -291,4 +291,15 @@
       expect(await send('/1')).to.include({ end: 'failed', wasSent: false });
     });
   });
+
+  describe('with an invalid address', () => {
+    // Guards against a request that hangs because its server cannot be connected to.
+    ['127.0.0.1:99999', '127.0.0.300:80', 'no address'].forEach((address) => {
+      it(`fails a request as not sent (${address})`, async () => {
+        connections.close();
+        connections = new BackendConnections({ address });
+        expect(await send('/a')).to.include({ end: 'failed', wasSent: false });
+      });
+    });
+  });
 });
--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -82,6 +82,20 @@
   if (overheadBytes > maxBytes) onOverhead();
 }
 
+/** Fails a request of which nothing was sent. */
+function failSoon(events: ResponseEvents, error: Error): RequestHandle {
+  let isAborted = false;
+  queueMicrotask(() => {
+    if (!isAborted) events.failed(error, false);
+  });
+  return {
+    resume: () => undefined,
+    abort: () => {
+      isAborted = true;
+    },
+  };
+}
+
 /**
  * A pool of connections to one backend server; each carries one request at a time.
  *
@@ -101,11 +115,14 @@
 
   /** Sends a request. */
   send(request: BackendRequest, events: ResponseEvents): RequestHandle {
-    const connection = this.#acquire(request.needsRecentConnection);
-    if (connection === undefined) {
-      queueMicrotask(() => events.failed(new ConnectionsExhaustedError(), false));
-      return { resume: () => undefined, abort: () => undefined };
+    let connection: Connection | undefined;
+    try {
+      connection = this.#acquire(request.needsRecentConnection);
+    } catch (error) {
+      // The address of the server is invalid.
+      return failSoon(events, error instanceof Error ? error : new Error(String(error)));
     }
+    if (connection === undefined) return failSoon(events, new ConnectionsExhaustedError());
     return this.#dispatch(connection, request, events);
   }
 
--- a/tasks/gateway/_admissionQueue.ts
+++ b/tasks/gateway/_admissionQueue.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
+import { runAll } from '../../core/collections/mod.ts';
 import { chooseServer } from '../../core/dispatch/mod.ts';
 import type {
   ServerChoice,
@@ -499,11 +500,14 @@
     this.#options.clock.schedule(REVIEW_INTERVAL_MS, () => {
       this.#isReviewing = false;
       const now = this.#options.clock.now();
-      this.#services.forEach((state, name) => {
-        this.#admit(name);
-        this.#refuseLate(state, now);
-      });
-      this.#scheduleReview();
+      try {
+        runAll([...this.#services], ([name, state]) => {
+          this.#admit(name);
+          this.#refuseLate(state, now);
+        });
+      } finally {
+        this.#scheduleReview();
+      }
     });
   }
 }
--- a/tasks/gateway/_limitGate.ts
+++ b/tasks/gateway/_limitGate.ts
@@ -182,13 +182,20 @@
   #scheduleRequests(): void {
     this.#cancelRequests ??= this.#options.clock.schedule(REQUEST_INTERVAL_MS, () => {
       this.#cancelRequests = undefined;
-      const servers = new Set<string>();
-      this.#waiting.forEach(({ request, views }) => {
-        views.forEach((view) => this.#requestPermit(request, view));
-        views.forEach(({ server }) => servers.add(server.id));
-      });
-      servers.forEach((id) => this.noteAnswer(id));
-      if (this.#waiting.size > 0) this.#scheduleRequests();
+      try {
+        this.#requestPermits();
+      } finally {
+        if (this.#waiting.size > 0) this.#scheduleRequests();
+      }
+    });
+  }
+
+  #requestPermits(): void {
+    const servers = new Set<string>();
+    this.#waiting.forEach(({ request, views }) => {
+      views.forEach((view) => this.#requestPermit(request, view));
+      views.forEach(({ server }) => servers.add(server.id));
     });
+    servers.forEach((id) => this.noteAnswer(id));
   }
 }
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { Dial } from '../ports/mod.ts';
+import { repeatSteps } from '../_repeatSteps.ts';
 import { AdapterVersions } from './_adapterVersions.ts';
 import { AdapterWaits } from './_adapterWaits.ts';
 import { AdmissionQueue } from './_admissionQueue.ts';
@@ -354,18 +355,18 @@
     this.#limits.permits.start();
     this.#tokenLimits.task.start();
     this.#streamVersions.origins.start();
-    this.#scheduleTick();
-  }
-
-  #scheduleTick(): void {
-    this.#cancelTick = this.#options.clock.schedule(TICK_INTERVAL_MS, () => {
-      this.#table.tick();
-      this.#rooms.tick(this.#table.views);
-      this.#guard.tick();
-      this.#callers.tick();
-      this.#notices.tick((id) => this.#table.has(id));
-      this.#table.servers.forEach((server) => this.#streamVersions.noteServer(server));
-      this.#scheduleTick();
+    this.#cancelTick = repeatSteps({
+      ...this.#options,
+      task: 'gateway',
+      intervalMs: () => TICK_INTERVAL_MS,
+      steps: [
+        () => this.#table.tick(),
+        () => this.#rooms.tick(this.#table.views),
+        () => this.#guard.tick(),
+        () => this.#callers.tick(),
+        () => this.#notices.tick((id) => this.#table.has(id)),
+        () => this.#table.servers.forEach((server) => this.#streamVersions.noteServer(server)),
+      ],
     });
   }
 
@@ -497,10 +498,9 @@
   /** Sends a request as chosen, has it wait, or refuses it. */
   #carryOut(request: OpenRequest, found: FoundChoice): void {
     const { choice, passedOver, preference, modelName, minVersion, maxWaitMs } = found;
-    const { blocks } = passedOver;
     const described = {
       now: this.#options.clock.now(),
-      blocks,
+      blocks: passedOver.blocks,
       deployment: this.#deployment,
     };
     const fields = { ...describeChoice(request, choice, described), ...preference.describe?.() };
--- a/tasks/gateway/loadSheddingTask.ts
+++ b/tasks/gateway/loadSheddingTask.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
+import { repeatSteps } from '../_repeatSteps.ts';
 
 /** Options of `LoadSheddingTask`. */
 export type LoadSheddingTaskOptions = {
@@ -30,6 +31,9 @@
 
   #changedAt: Milliseconds;
 
+  /** When the next sample is due. */
+  #dueAt: Milliseconds = 0;
+
   #cancelSample: (() => void) | undefined;
 
   constructor(options: LoadSheddingTaskOptions) {
@@ -45,12 +49,14 @@
 
   /** Starts sampling. */
   start(): void {
-    const dueAt = this.#options.clock.now() + SAMPLE_INTERVAL_MS;
-    this.#cancelSample = this.#options.clock.schedule(SAMPLE_INTERVAL_MS, () => {
-      const lagMs = Math.max(0, this.#options.clock.now() - dueAt);
-      this.#lagMs += (lagMs - this.#lagMs) * LAG_WEIGHT;
-      this.#updateShedding();
-      this.start();
+    const { clock, log } = this.#options;
+    this.#dueAt = clock.now() + SAMPLE_INTERVAL_MS;
+    this.#cancelSample = repeatSteps({
+      task: 'load-shedding',
+      clock,
+      log,
+      intervalMs: () => SAMPLE_INTERVAL_MS,
+      steps: [() => this.#sample()],
     });
   }
 
@@ -59,6 +65,15 @@
     this.#cancelSample?.();
   }
 
+  #sample(): void {
+    const { clock } = this.#options;
+    const now = clock.now();
+    const lagMs = Math.max(0, now - this.#dueAt);
+    this.#dueAt = now + SAMPLE_INTERVAL_MS;
+    this.#lagMs += (lagMs - this.#lagMs) * LAG_WEIGHT;
+    this.#updateShedding();
+  }
+
   #updateShedding(): void {
     const { clock, log, peerLagsMs, onChange } = this.#options;
     const now = clock.now();
--- a/tasks/gateway/originTask.ts
+++ b/tasks/gateway/originTask.ts
@@ -16,6 +16,7 @@
 } from '../../core/streamOrigins/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { dispatch } from '../_handlers.ts';
+import { repeatSteps } from '../_repeatSteps.ts';
 import type { Handlers } from '../_handlers.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
 import { groupOrigins, noteOrigins } from '../_originMessages.ts';
@@ -98,9 +99,13 @@
 
   /** Starts to check links and questions. */
   start(): void {
-    this.#cancelTick = this.#options.clock.schedule(TICK_INTERVAL_MS, () => {
-      this.#tick();
-      this.start();
+    const { clock, log } = this.#options;
+    this.#cancelTick = repeatSteps({
+      task: 'stream-origins',
+      clock,
+      log,
+      intervalMs: () => TICK_INTERVAL_MS,
+      steps: [() => this.#tick()],
     });
   }
 
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -1,9 +1,11 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
+import { runAll } from '../../core/collections/mod.ts';
 import type { MirrorUpdate, RecordMirror } from '../../core/mirror/mod.ts';
 import type { Reach } from '../../core/serverLimits/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
 import type { Accept, Dial } from '../ports/mod.ts';
+import { repeatSteps } from '../_repeatSteps.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
 import type { DigestMessage, PeerMessage } from './_peerMessages.ts';
 import type { OriginTask } from './originTask.ts';
@@ -197,10 +199,20 @@
 
   /** Starts to link to other entries and to send them digests. */
   start(): void {
-    this.#updateLinks();
-    this.#links.tick();
-    this.#links.addresses.forEach((address) => this.#sendDigest(address));
-    this.#cancelDigest = this.#options.clock.schedule(DIGEST_INTERVAL_MS, () => this.start());
+    const { clock, log } = this.#options;
+    const steps = [
+      () => this.#updateLinks(),
+      () => this.#links.tick(),
+      () => runAll(this.#links.addresses, (address) => this.#sendDigest(address)),
+    ];
+    steps.forEach((step) => step());
+    this.#cancelDigest = repeatSteps({
+      task: 'peers',
+      clock,
+      log,
+      intervalMs: () => DIGEST_INTERVAL_MS,
+      steps,
+    });
   }
 
   /** Sends changes of the shared state to the linked entries without waiting for the next digest. */
@@ -237,7 +249,7 @@
     const seeds =
       chosen.length < TARGET_PEER_LINKS ? this.#seeds.filter((seed) => seed !== address) : [];
     const wanted = new Set([...chosen, ...seeds]);
-    wanted.forEach((each) => this.#links.open(each));
+    runAll(wanted, (each) => this.#links.open(each));
     this.#links.addresses
       .filter((each) => !wanted.has(each))
       .forEach((each) => this.#links.close(each));
--- a/tasks/gateway/permitTask.ts
+++ b/tasks/gateway/permitTask.ts
@@ -10,6 +10,7 @@
 import type { Log } from '../../log/mod.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
 import type { Dial } from '../ports/mod.ts';
+import { repeatSteps } from '../_repeatSteps.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
 import type { PermitRequestMessage } from './_peerMessages.ts';
 
@@ -79,10 +80,13 @@
 
   /** Starts to issue permits. */
   start(): void {
-    const intervalMs = this.#issuer.hasWaiting ? ISSUE_INTERVAL_MS : IDLE_INTERVAL_MS;
-    this.#cancelTick = this.#options.clock.schedule(intervalMs, () => {
-      this.#tick();
-      this.start();
+    const { clock, log } = this.#options;
+    this.#cancelTick = repeatSteps({
+      task: 'permits',
+      clock,
+      log,
+      intervalMs: () => (this.#issuer.hasWaiting ? ISSUE_INTERVAL_MS : IDLE_INTERVAL_MS),
+      steps: [() => this.#tick()],
     });
   }
 
--- a/tasks/gateway/storeReaderTask.ts
+++ b/tasks/gateway/storeReaderTask.ts
@@ -3,6 +3,7 @@
 import type { ConfigurationAge, ReaderNotice } from '../../core/freshness/mod.ts';
 import { rendezvousOrder } from '../../core/placement/mod.ts';
 import type { Log } from '../../log/mod.ts';
+import { repeatSteps } from '../_repeatSteps.ts';
 import { encodePeerMessage } from './_peerMessages.ts';
 import type { DigestMessage, PeerMessage, ProofMessage, ToldMessage } from './_peerMessages.ts';
 import type { Mirrors } from './peerTask.ts';
@@ -129,10 +130,15 @@
 
   /** Starts to decide who reads, and to tell it. */
   start(): void {
-    this.#cancelTick?.();
+    const { clock, log } = this.#options;
     this.#tick();
-    const intervalMs = this.isActive ? ROLE_INTERVAL_MS : INACTIVE_INTERVAL_MS;
-    this.#cancelTick = this.#options.clock.schedule(intervalMs, () => this.start());
+    this.#cancelTick = repeatSteps({
+      task: 'store-readers',
+      clock,
+      log,
+      intervalMs: () => (this.isActive ? ROLE_INTERVAL_MS : INACTIVE_INTERVAL_MS),
+      steps: [() => this.#tick()],
+    });
   }
 
   /** Stops deciding and telling. */
--- a/tasks/gateway/storeTask.ts
+++ b/tasks/gateway/storeTask.ts
@@ -155,7 +155,7 @@
   }
 
   async #fetch(): Promise<void> {
-    const { store, prefix, mirror, clock, onUpdate, onConfirmed } = this.#options;
+    const { store, prefix, mirror, clock, log, onUpdate, onConfirmed } = this.#options;
     const sentAt = clock.now();
     const timeoutMs = this.#failures % 3 === 2 ? LONG_RESPONSE_TIMEOUT_MS : RESPONSE_TIMEOUT_MS;
     const since = this.#isHistoryGone ? undefined : mirror.asOf;
@@ -171,7 +171,12 @@
     this.#isHistoryGone = false;
     // What the store has lost by coming back from an older copy may be written again.
     if (eraOf(revision) > eraOf(mirror.asOf ?? revision)) this.#outageEndedAt = clock.now();
-    onUpdate({ since, records, asOf: revision }, this.removalGraceUntil());
+    try {
+      onUpdate({ since, records, asOf: revision }, this.removalGraceUntil());
+    } catch (error) {
+      // An error of this process says nothing about the store.
+      log('internalError', { task: 'store', error: String(error) });
+    }
     // An answer that is older than the mirror proves nothing.
     this.#dueAt = Infinity;
     this.#isConfirmed = mirror.asOf === revision;
--- a/tasks/gateway/tokenLimitTask.ts
+++ b/tasks/gateway/tokenLimitTask.ts
@@ -16,6 +16,7 @@
 import { ReconnectingLinks } from '../links/mod.ts';
 import { limitLogRate } from '../_limitLogRate.ts';
 import type { Dial } from '../ports/mod.ts';
+import { repeatSteps } from '../_repeatSteps.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
 import type { LeaseRequestMessage } from './_peerMessages.ts';
 
@@ -110,11 +111,13 @@
 
   /** Starts to ask for tokens in advance. */
   start(): void {
-    const isInUse = this.#holder.size > 0;
-    const intervalMs = isInUse ? TICK_INTERVAL_MS : IDLE_INTERVAL_MS;
-    this.#cancelTick = this.#options.clock.schedule(intervalMs, () => {
-      this.#tick();
-      this.start();
+    const { clock, log } = this.#options;
+    this.#cancelTick = repeatSteps({
+      task: 'token-limits',
+      clock,
+      log,
+      intervalMs: () => (this.#holder.size > 0 ? TICK_INTERVAL_MS : IDLE_INTERVAL_MS),
+      steps: [() => this.#tick()],
     });
   }
 
--- a/tasks/links/reconnectingLinks.ts
+++ b/tasks/links/reconnectingLinks.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
+import { runAll } from '../../core/collections/mod.ts';
 import type { Connection, Dial } from '../ports/mod.ts';
 
 /** Options of `ReconnectingLinks`. */
@@ -95,10 +96,10 @@
   tick(): void {
     const { clock, silenceMs } = this.#options;
     const now = clock.now();
-    for (const link of this.#links.values()) {
+    runAll([...this.#links.values()], (link) => {
       if (link.hasReceived && now - link.receivedAt > silenceMs) this.#handleLoss(link, 'silent');
       if (!link.hasReceived && now - link.dialedAt > REDIAL_DELAY_MS) this.#dial(link);
-    }
+    });
   }
 
   #dial(link: Link): void {
--- a/transport/webSocketTransport.ts
+++ b/transport/webSocketTransport.ts
@@ -24,18 +24,50 @@
   };
 }
 
+/** Reports an error as uncaught, outside the call that the library has to complete. */
+function throwLater(error: unknown): void {
+  queueMicrotask(() => {
+    throw error;
+  });
+}
+
 function attachEvents(socket: WebSocket, events: ConnectionEvents): void {
-  socket.on('message', (data: RawData) => events.received(toBytes(data)));
+  socket.on('message', (data: RawData) => {
+    try {
+      events.received(toBytes(data));
+    } catch (error) {
+      // Thrown here, it would leave the receiver of the library in the middle of a frame.
+      throwLater(error);
+    }
+  });
   socket.on('close', () => events.closed());
   socket.on('error', () => socket.terminate());
 }
 
-/** Opens a WebSocket connection to the address `ip:port`. */
+/** A connection that has never opened. */
+const NO_CONNECTION: Connection = { send: () => undefined, close: () => undefined };
+
+function openSocket(address: string): WebSocket | undefined {
+  try {
+    return new WebSocket(`ws://${address}`, {
+      perMessageDeflate: false,
+      maxPayload: MAX_FRAME_BYTES,
+    });
+  } catch {
+    return undefined; // The address is invalid.
+  }
+}
+
+/**
+ * Opens a WebSocket connection to the address `ip:port`. One to an invalid address closes at once, like one
+ * that is refused.
+ */
 export const dialWebSocket: Dial = (address, events) => {
-  const socket = new WebSocket(`ws://${address}`, {
-    perMessageDeflate: false,
-    maxPayload: MAX_FRAME_BYTES,
-  });
+  const socket = openSocket(address);
+  if (socket === undefined) {
+    queueMicrotask(() => events.closed());
+    return NO_CONNECTION;
+  }
   socket.on('open', () => events.opened());
   attachEvents(socket, events);
   return createConnection(socket);
