--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -38,6 +38,13 @@
     message: 'An internal error occurred',
     remedy: 'Report a bug with this line and the lines before it',
   },
+  loopStalled: {
+    number: 'HS1006',
+    level: 'warn',
+    message: 'The event loop stood still: nothing was read, sent or answered meanwhile',
+    remedy:
+      'None needed if the host was paused; otherwise look at the lines after it for what took the time',
+  },
   setTaken: {
     number: 'HS2001',
     level: 'info',
--- a/programs/serving/testing/servingWorld.ts
+++ b/programs/serving/testing/servingWorld.ts
@@ -113,13 +113,21 @@
   return { lines, log, logged };
 }
 
-/** Sends a request to a gateway; resolves once its response has ended, complete or not. */
-export function callGateway(port: number, call: CallerCall): Promise<CallerResult> {
+/**
+ * Sends a request to a gateway; resolves once its response has ended, complete or not.
+ *
+ * @param ip Address of the gateway. @default '127.0.0.1'
+ */
+export function callGateway(
+  port: number,
+  call: CallerCall,
+  ip = '127.0.0.1',
+): Promise<CallerResult> {
   const { id, path, method = 'POST', headers = {}, body = '', signal } = call;
   return new Promise((resolve, reject) => {
     const request = httpRequest(
       {
-        host: '127.0.0.1',
+        host: ip,
         port,
         path,
         method,
--- a/tasks/gateway/loadSheddingTask.ts
+++ b/tasks/gateway/loadSheddingTask.ts
@@ -18,6 +18,9 @@
 /** Interval between lag samples; each costs a wake-up. */
 const SAMPLE_INTERVAL_MS: Milliseconds = 100;
 
+/** Lag from which on it is logged. */
+const STALL_MS: Milliseconds = 500;
+
 /** Weight of the newest lag in the moving mean, which covers about the last 500 ms. */
 const LAG_WEIGHT = 0.2;
 
@@ -66,10 +69,12 @@
   }
 
   #sample(): void {
-    const { clock } = this.#options;
+    const { clock, log, metrics } = this.#options;
     const now = clock.now();
     const lagMs = Math.max(0, now - this.#dueAt);
     this.#dueAt = now + SAMPLE_INTERVAL_MS;
+    metrics.record('loop_lag_ms', lagMs);
+    if (lagMs >= STALL_MS) log('loopStalled', { lagMs: Math.round(lagMs) });
     this.#lagMs += (lagMs - this.#lagMs) * LAG_WEIGHT;
     this.#updateShedding();
   }
