Bound the time that one event or one record can hold the event loop

Cause: each chunk copied all that was there of its event, so the time grew with the square of its length. A record of another writer with half a million invalid items took 650 to 1,050 ms to check, and the check threw a RangeError as it collected the issues.

Change: an incomplete event grows in a storage whose size doubles, and the search goes on where it stopped. An event id that is no safe integer counts as none, where it had hidden all events after it.

--- a/core/streams/resumableEventBuffer.test.ts
+++ b/core/streams/resumableEventBuffer.test.ts
@@ -39,4 +39,30 @@
       { seed: 4 },
     );
   });
+
+  describe('with an event that comes in many small chunks', () => {
+    /** Time for 900,000 bytes; copying what is there with each chunk takes several seconds. */
+    const MAX_MS = 1000;
+
+    // Guards against a stream that holds the event loop.
+    it('takes time in proportion to its length', () => {
+      const buffer = new ResumableEventBuffer();
+      const byte = Buffer.from('x');
+      const beganAt = performance.now();
+      for (let length = 0; length < 900_000; length += 1) buffer.push(byte);
+      expect(performance.now() - beganAt).to.be.below(MAX_MS);
+      expect(buffer.partialBytes).to.equal(900_000);
+      expect(buffer.push(Buffer.from('\n\n'))).to.have.length(900_002);
+      expect(buffer.hasPartial).to.equal(false);
+    });
+  });
+
+  describe('with an event id that is too large', () => {
+    it('goes on with the events after it', () => {
+      const buffer = new ResumableEventBuffer();
+      buffer.push(Buffer.from(`id: ${'9'.repeat(400)}\n\n`));
+      expect(buffer.lastEventId).to.equal(undefined);
+      expect(buffer.push(Buffer.from(event(1))).toString()).to.equal(event(1));
+    });
+  });
 });
--- a/core/streams/resumableEventBuffer.ts
+++ b/core/streams/resumableEventBuffer.ts
@@ -1,11 +1,18 @@
+const LINE_FEED = 0x0a;
+
 /** Delimiter at the end of each event. */
-const EVENT_END = '\n\n';
+const EVENT_END = Buffer.from([LINE_FEED, LINE_FEED]);
+
+const INITIAL_CAPACITY = 1024;
+
+const NO_BYTES: Buffer = Buffer.alloc(0);
 
 const ID_LINE = /^id: ?(\d+)\s*$/m;
 
 function idOf(event: Buffer): number | undefined {
   const match = ID_LINE.exec(event.toString('latin1'));
-  return match === null ? undefined : Number(match[1]);
+  const id = match === null ? NaN : Number(match[1]);
+  return Number.isSafeInteger(id) ? id : undefined;
 }
 
 /**
@@ -14,7 +21,10 @@
  * The output always ends with a complete event and contains no event id twice.
  */
 export class ResumableEventBuffer {
-  #partialEvent: Buffer = Buffer.alloc(0);
+  /** Holds the incomplete event at its beginning; its size doubles, so that each byte is copied a few times only. */
+  #storage = NO_BYTES;
+
+  #partialLength = 0;
 
   #lastEventId: number | undefined;
 
@@ -25,34 +35,59 @@
 
   /** Whether the buffer holds an incomplete event. */
   get hasPartial(): boolean {
-    return this.#partialEvent.length > 0;
+    return this.#partialLength > 0;
   }
 
   /** Size of the incomplete event. */
   get partialBytes(): number {
-    return this.#partialEvent.length;
+    return this.#partialLength;
   }
 
   /** Adds a chunk of the stream. Returns the events that it completes, without those already returned. */
   push(chunk: Buffer): Buffer {
-    const bytes =
-      this.#partialEvent.length === 0 ? chunk : Buffer.concat([this.#partialEvent, chunk]);
+    const searchedLength = this.#partialLength;
+    const bytes = searchedLength === 0 ? chunk : this.#append(chunk);
     const events: Buffer[] = [];
     let start = 0;
-    for (;;) {
-      const end = bytes.indexOf(EVENT_END, start);
-      if (end < 0) break;
-      const event = bytes.subarray(start, end + EVENT_END.length);
+    // The delimiter may begin with the last byte that was there before.
+    let end = bytes.indexOf(EVENT_END, Math.max(0, searchedLength - 1));
+    while (end >= 0) {
+      const next = end + EVENT_END.length;
+      const event = bytes.subarray(start, next);
       if (this.#isNew(event)) events.push(event);
-      start = end + EVENT_END.length;
+      start = next;
+      end = bytes.indexOf(EVENT_END, start);
     }
-    this.#partialEvent = bytes.subarray(start);
-    return Buffer.concat(events);
+    const complete = Buffer.concat(events);
+    this.#keep(bytes, start);
+    return complete;
   }
 
   /** Discards the incomplete event; call this when the server fails. */
   discardPartial(): void {
-    this.#partialEvent = Buffer.alloc(0);
+    this.#storage = NO_BYTES;
+    this.#partialLength = 0;
+  }
+
+  /** Adds bytes to the incomplete event, and returns all of it. */
+  #append(chunk: Buffer): Buffer {
+    const length = this.#partialLength + chunk.length;
+    if (length > this.#storage.length) {
+      const grown = Buffer.alloc(Math.max(length, 2 * this.#storage.length, INITIAL_CAPACITY));
+      this.#storage.copy(grown, 0, 0, this.#partialLength);
+      this.#storage = grown;
+    }
+    chunk.copy(this.#storage, this.#partialLength);
+    this.#partialLength = length;
+    return this.#storage.subarray(0, length);
+  }
+
+  /** Keeps the bytes from an offset on as the incomplete event. */
+  #keep(bytes: Buffer, start: number): void {
+    if (start === 0 && bytes.length === this.#partialLength) return;
+    const rest = bytes.subarray(start);
+    this.discardPartial();
+    if (rest.length > 0) this.#append(rest);
   }
 
   #isNew(event: Buffer): boolean {
--- a/programs/serving/invalidRecords.test.ts
+++ b/programs/serving/invalidRecords.test.ts
@@ -45,6 +45,10 @@
     'servers/a',
     { ...VALID, service: 'app', 'remaining-ms': 1e300 },
   ],
+  'a list of too many items': [
+    'servers/a',
+    { ...VALID, service: 'app', models: Array.from({ length: 500_000 }, () => 0) },
+  ],
   'no text': ['servers/a', '\u0000\ufffd\u0001'],
   'a line break in its key': ['servers/a\r\nb', { ...VALID, service: 'app' }],
   'an empty id': ['servers/', { ...VALID, service: 'app' }],
