Let only entries vouch that a service has one software version

Cause: where nobody knows the origin of a stream, it goes on at the only version if most of those asked answer. Keepers counted among these. An entry that had not heard of the new version asks up to twelve keepers of the old one, which answer that they know nothing, and at most five entries, which it does not reach.

Change: only entries count for the majority. An entry that knows no others also needs records of the servers that are younger than 2.5 s. The options of the gateway moved to a file of their own.

--- a/core/streamOrigins/originLookup.ts
+++ b/core/streamOrigins/originLookup.ts
@@ -20,7 +20,10 @@
   readonly version: string | undefined;
   /** What processes that do not know it have seen of the service. */
   readonly seen: readonly VersionSummary[];
-  /** Whether most of the processes that were asked have answered; also if there are none. */
+  /**
+   * Whether most of the processes that were asked and watch the servers have answered; also if there are
+   * none. The others cannot know of a version that is new.
+   */
   readonly hasMajority: boolean;
 };
 
@@ -29,6 +32,8 @@
   /** Returns the other processes that may know where a stream began. */
   readonly holdersOf: (key: StreamKey) => readonly string[];
   readonly ask: (holder: string, query: OriginQuery) => void;
+  /** Whether a process watches the servers of all versions. @default all do */
+  readonly isWatcher?: (holder: string) => boolean;
   /** Returns the version that this process itself takes for the only one of the service, if any. */
   readonly onlyVersionOf: (key: StreamKey) => string | undefined;
   /** Called once for each question. */
@@ -51,6 +56,8 @@
   readonly query: OriginQuery;
   readonly askedAt: Milliseconds;
   readonly asked: Set<string>;
+  /** Those of the processes asked that watch the servers. */
+  readonly watchers: Set<string>;
   /** What each process that does not know has seen of the service. */
   readonly ignorant: Map<string, VersionSummary | undefined>;
   /** Processes that know it. */
@@ -89,6 +96,7 @@
       query,
       askedAt: now,
       asked: new Set(),
+      watchers: new Set(),
       ignorant: new Map(),
       knowing: new Set(),
       versions: new Set(),
@@ -129,13 +137,14 @@
   #proceed(number: number, now: Milliseconds): void {
     const pending = this.#pending.get(number);
     if (pending === undefined) return;
-    const { query, asked, ignorant, knowing } = pending;
-    this.#options
-      .holdersOf(query)
+    const { query, asked, watchers, ignorant, knowing } = pending;
+    const { ask, holdersOf, isWatcher = () => true } = this.#options;
+    holdersOf(query)
       .filter((holder) => !asked.has(holder))
       .forEach((holder) => {
         asked.add(holder);
-        this.#options.ask(holder, query);
+        if (isWatcher(holder)) watchers.add(holder);
+        ask(holder, query);
       });
     const haveAllAnswered = asked.size === ignorant.size + knowing.size;
     const isSettled =
@@ -164,13 +173,14 @@
     );
   }
 
-  #finish({ query, asked, ignorant, knowing, versions }: Pending): void {
+  #finish({ query, watchers, ignorant, knowing, versions }: Pending): void {
     if (!this.#pending.delete(query.number)) return;
     const isContradictory = versions.size > 1;
     const [version] = isContradictory ? [] : versions;
     const seen = [...ignorant.values()].filter((summary) => summary !== undefined);
-    const answered = ignorant.size + knowing.size;
-    const hasMajority = !isContradictory && (asked.size === 0 || answered > asked.size / 2);
+    const answered = [...watchers].filter((each) => ignorant.has(each) || knowing.has(each)).length;
+    const isMajority = watchers.size === 0 || answered > watchers.size / 2;
+    const hasMajority = !isContradictory && isMajority;
     this.#options.onResult(query, { version, seen, hasMajority });
   }
 }
--- a/programs/serving/_storeRecords.ts
+++ b/programs/serving/_storeRecords.ts
@@ -1,7 +1,7 @@
 import { RecordMirror } from '../../core/mirror/mod.ts';
 import type { MirrorUpdate, MirroredRecord } from '../../core/mirror/mod.ts';
 import type { Milliseconds } from '../../core/clock/mod.ts';
-import { ConfigurationAge } from '../../core/freshness/mod.ts';
+import type { ConfigurationAge } from '../../core/freshness/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import {
@@ -29,6 +29,8 @@
   readonly gateway: Gateway;
   /** Learns when the configuration was known to be the newest one. */
   readonly configurationAge: ConfigurationAge;
+  /** Learns when the records of the servers were known to be the newest ones. */
+  readonly serverRecordsAge: ConfigurationAge;
   readonly log: Log;
   readonly metrics: Pick<Metrics, 'count'>;
   /** Called after records have changed. */
@@ -72,7 +74,7 @@
     this.#mirrors = new Map(prefixes.map((prefix) => [prefix, new RecordMirror()]));
     this.#ages = new Map([
       [OPERATOR_PREFIX, options.configurationAge],
-      [SERVER_PREFIX, new ConfigurationAge()],
+      [SERVER_PREFIX, options.serverRecordsAge],
     ]);
     this.readers = this.#createReaders();
     this.#tasks = new Map(prefixes.map((prefix) => [prefix, this.#createTask(prefix)]));
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -60,6 +60,7 @@
   let isShedding = false;
   let { graceMs } = settings;
   const configurationAge = new ConfigurationAge();
+  const serverRecordsAge = new ConfigurationAge();
   const gateway = new Gateway({
     entryId: `${settings.host}/${randomUUID()}`,
     availabilityZone: settings.availabilityZone,
@@ -78,6 +79,7 @@
     log,
     metrics,
     random: Math.random,
+    recordsAgeMs: () => serverRecordsAge.ageMs(realClock.now()),
     usesPromptCache: settings.usesPromptCache,
     keyPolicy: {
       configurationAgeMs: () => configurationAge.ageMs(realClock.now()),
@@ -97,6 +99,7 @@
     settings,
     gateway,
     configurationAge,
+    serverRecordsAge,
     log,
     metrics,
     onChange: () => {
--- a/tasks/gateway/_streamVersions.test.ts
+++ b/tasks/gateway/_streamVersions.test.ts
@@ -27,11 +27,13 @@
   let network: FakeNetwork;
   let names: string[];
   let outcomes: string[];
+  let recordsAgeMs: number;
 
   beforeEach(() => {
     network = new FakeNetwork();
     names = [];
     outcomes = [];
+    recordsAgeMs = 0;
   });
 
   /** Starts an entry that sees servers of some versions. */
@@ -45,6 +47,7 @@
       incarnation: name,
       peers: () => names.filter((each) => each !== name),
       keepers: () => ({ all: () => [], isOpen: () => false, send: () => undefined }),
+      recordsAgeMs: () => recordsAgeMs,
       dispatch: ({ streamVersion }) => outcomes.push(`goes on at ${streamVersion}`),
       refuse: () => outcomes.push('refused'),
     });
@@ -101,6 +104,14 @@
       expect(takeUp(elder)).to.equal('refused');
     });
 
+    it('refuses it at an elder that knows no others and has not reached the store for some seconds', () => {
+      const elder = start('a', []);
+      network.run(HISTORY_MS);
+      elder.noteServer(serverOf('v1'));
+      recordsAgeMs = 3000;
+      expect(takeUp(elder)).to.equal('refused');
+    });
+
     it('lets it go on at an elder that knows no others', () => {
       const elder = start('a', []);
       network.run(HISTORY_MS);
--- a/tasks/gateway/_streamVersions.ts
+++ b/tasks/gateway/_streamVersions.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../../core/clock/mod.ts';
+import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import { hashText } from '../../core/placement/mod.ts';
 import type { BackendServer } from '../../core/serving/mod.ts';
 import { agreedVersion, VersionHistory } from '../../core/streamOrigins/mod.ts';
@@ -24,12 +24,17 @@
   readonly peers: () => readonly string[];
   /** Returns the keepers of the known engines. */
   readonly keepers: () => ServerKeepers;
+  /** Returns the age of the records of the servers: the time since they were known to be the newest ones. */
+  readonly recordsAgeMs: () => Milliseconds;
   /** Chooses a server for a request and sends it. */
   readonly dispatch: (request: OpenRequest) => void;
   /** Refuses a request that must be begun anew. */
   readonly refuse: (request: OpenRequest) => void;
 };
 
+/** Age of the records above which an entry that knows no others may have missed a version. */
+const MAX_RECORDS_AGE_MS: Milliseconds = 2500;
+
 function keyOf({ service }: OpenRequest, requestId: string): StreamKey {
   return { service: service.name, requestId };
 }
@@ -114,10 +119,11 @@
   }
 
   #handleResult(key: StreamKey, { version: found, seen, hasMajority }: OriginResult): void {
-    const { dispatch, refuse, log, metrics } = this.#options;
+    const { dispatch, refuse, log, metrics, recordsAgeMs } = this.#options;
     const name = nameOf(key);
-    // An entry that is cut off from most others may have missed a version.
-    const agreed = hasMajority ? agreedVersion([this.#summaryOf(key.service), ...seen]) : undefined;
+    // An entry that is cut off from most others, or from the store and alone, may have missed a version.
+    const isInTouch = hasMajority && (seen.length > 0 || recordsAgeMs() <= MAX_RECORDS_AGE_MS);
+    const agreed = isInTouch ? agreedVersion([this.#summaryOf(key.service), ...seen]) : undefined;
     const version = found ?? agreed;
     const requests = this.#waiting.get(name) ?? new Set();
     this.#waiting.delete(name);
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -1,24 +1,19 @@
 import type { CallerRequest, EarlyRequest } from '../../proxy/mod.ts';
-import type { Cancellation, Clock, Milliseconds } from '../../core/clock/mod.ts';
+import type { Cancellation, Milliseconds } from '../../core/clock/mod.ts';
 import type { ServerChoice } from '../../core/dispatch/mod.ts';
 import type { Deployment, ModelName } from '../../core/serving/mod.ts';
-import type { Reach } from '../../core/serverLimits/mod.ts';
-import type { LimitBounds } from '../../core/tokenLimits/mod.ts';
-import type { Log } from '../../log/mod.ts';
-import type { Metrics } from '../../metrics/mod.ts';
-import type { Dial } from '../ports/mod.ts';
 import { repeatSteps } from '../_repeatSteps.ts';
 import { AdapterVersions } from './_adapterVersions.ts';
 import { AdapterWaits } from './_adapterWaits.ts';
 import { AdmissionQueue } from './_admissionQueue.ts';
 import { Attempts } from './_attempts.ts';
 import { CallerGate } from './_callerGate.ts';
-import type { KeyPolicy } from './_callerGate.ts';
 import { CrashGuard } from './_crashGuard.ts';
 import { describeChoice } from './_describeRequest.ts';
 import { maxWaitBeforeSending } from './_openRequest.ts';
 import type { OpenRequest, RequestEnd } from './_openRequest.ts';
 import { clearAwaitingFirstByte } from './_forwardResponse.ts';
+import type { GatewayOptions } from './gatewayOptions.ts';
 import { LimitGate } from './_limitGate.ts';
 import { FactKeeping } from './_factKeeping.ts';
 import { PauseWaits } from './_pauseWaits.ts';
@@ -28,7 +23,7 @@
 import { RequestAcceptance } from './_requestAcceptance.ts';
 import { RequestEndings } from './_requestEndings.ts';
 import { RetryBudgets } from './_retryBudgets.ts';
-import type { RetryBudgetsOptions, RetryLimits } from './_retryBudgets.ts';
+import type { RetryLimits } from './_retryBudgets.ts';
 import { ServerAccess } from './_serverAccess.ts';
 import type { AccessibleServers } from './_serverAccess.ts';
 import { ServerHealth } from './_serverHealth.ts';
@@ -42,42 +37,6 @@
 import { TenantMetrics } from './_tenantMetrics.ts';
 import { TokenLimitGate } from './_tokenLimitGate.ts';
 
-/** Options of `Gateway`. */
-export type GatewayOptions = RetryBudgetsOptions & {
-  /** Unique id of this entry process; new at each start. */
-  readonly entryId: string;
-  readonly availabilityZone: string;
-  /** Port on which the keepers listen. */
-  readonly keeperPort: number;
-  /** Must run scheduled calls after reading the sockets that are readable by then. */
-  readonly clock: Clock;
-  readonly dial: Dial;
-  readonly log: Log;
-  readonly metrics: Metrics;
-  /** Name of this entry among its peers. @default `entryId` */
-  readonly peerName?: string | undefined;
-  /**
-   * Returns the names of the other live entries.
-   *
-   * @param maxAgeMs Age of the last sign of an entry up to which it is returned. @default as long as it is listed
-   */
-  readonly peerNames: (maxAgeMs?: Milliseconds) => readonly string[];
-  /** Returns how many of the known entries are in touch with this one. */
-  readonly peerReach: () => Reach;
-  /** Called when the other entries should learn of a change of `sharedStates`. */
-  readonly onSharedChange: () => void;
-  /** Returns a random number from 0 to 1; adds jitter to `Retry-After`. */
-  readonly random: () => number;
-  /** How keys of callers are checked. @default withdrawn keys are not bound by a time */
-  readonly keyPolicy?: KeyPolicy;
-  /** How strictly the token limits of tenants bind, over all entries. @default they are not kept */
-  readonly tokenLimitBounds?: LimitBounds;
-  /** Number of entries assumed until more are known. @default 1 */
-  readonly minKnownEntries?: number;
-  /** Whether servers that hold parts of a prompt are preferred. @default true */
-  readonly usesPromptCache?: boolean | undefined;
-};
-
 /** Interval at which silent keepers and expired servers are detected. */
 const TICK_INTERVAL_MS: Milliseconds = 150;
 
@@ -152,6 +111,7 @@
   constructor(options: GatewayOptions) {
     this.#options = options;
     const common = {
+      recordsAgeMs: () => 0,
       ...options,
       self: options.peerName ?? options.entryId,
       incarnation: options.entryId,
--- a/tasks/gateway/mod.ts
+++ b/tasks/gateway/mod.ts
@@ -1,6 +1,6 @@
 /** The gateway of an entry process: proxies callers' requests to backend servers. @module */
 export { Gateway } from './gateway.ts';
-export type { GatewayOptions } from './gateway.ts';
+export type { GatewayOptions } from './gatewayOptions.ts';
 export { PeerTask } from './peerTask.ts';
 export type {
   Mirrors,
--- a/tasks/gateway/originTask.ts
+++ b/tasks/gateway/originTask.ts
@@ -84,6 +84,7 @@
         holdersOf: (key) => this.#askedFor(key),
         onlyVersionOf: ({ service }) => agreedVersion([options.summaryOf(service)]),
         ask: (holder, query) => this.#ask(holder, query),
+        isWatcher: (holder) => !this.#isKeeper(holder),
         onResult: options.onResult,
       },
       options.clock.now(),
