Take a response for the answer only if it names the request

Cause: a response that names no request passed for the answer to the one that waited. So a refusal without an id that a server wrote once more on a kept connection counted as 'not run' for the next request there, which ran.

A 421 that names another request no longer marks a model as missing.

--- a/core/dispatch/classifyResponse.test.ts
+++ b/core/dispatch/classifyResponse.test.ts
@@ -30,6 +30,19 @@
     expect(classifyResponse({ ...GOOD, isEncoded: true }, ONCE)).to.equal('foreign');
   });
 
+  it('rejects a response that names no request, whatever it says, if the request has an id', () => {
+    const anonymous: ResponseHead = {
+      status: 200,
+      hasProof: true,
+      isNotRun: false,
+      isEncoded: false,
+    };
+    [{}, { isNotRun: true, status: 503 }, { status: 421 }, { status: 400 }].forEach((changes) =>
+      expect(classifyResponse({ ...anonymous, ...changes }, ONCE)).to.equal('foreign'),
+    );
+    expect(classifyResponse(anonymous, { ...ONCE, requestId: '' })).to.equal('pass-on');
+  });
+
   it('accepts "not run" only if the server states it', () => {
     const busy = { ...GOOD, status: 503 };
     expect(classifyResponse({ ...busy, isNotRun: true }, ONCE)).to.equal('not-run');
--- a/core/dispatch/classifyResponse.ts
+++ b/core/dispatch/classifyResponse.ts
@@ -37,6 +37,9 @@
 /**
  * Classifies a response by its head, before any of it is forwarded.
  *
+ * A response must name its request: one that names none may be an earlier response that comes once more on
+ * a kept connection, and a refusal among these would pass for the answer to a request that runs.
+ *
  * A success without proof is rejected, since a backend server may not have produced it. Status 421 always
  * counts as not run; the others of `NOT_RUN_STATUSES` only if the server states it itself, since otherwise
  * the request may have run.
@@ -46,7 +49,7 @@
   request: AttemptedRequest,
 ): ResponseVerdict {
   const { status, requestId, hasProof, isNotRun, isEncoded } = response;
-  if (requestId !== undefined && requestId !== request.requestId) return 'foreign';
+  if ((requestId ?? '') !== request.requestId) return 'foreign';
   if (isNotRun || status === MISDIRECTED_STATUS) return 'not-run';
   if (status < FIRST_REDIRECT_STATUS && (!hasProof || isEncoded)) return 'foreign';
   const isNotRunStatus = NOT_RUN_STATUSES.has(status);
--- a/tasks/gateway/_attempts.ts
+++ b/tasks/gateway/_attempts.ts
@@ -91,7 +91,8 @@
         onHead: (status, response) => {
           limits.noteHead(request, status, response);
           notices.noteHead(server, now, status, response);
-          if (status !== MISDIRECTED_STATUS || head.modelName === undefined) return;
+          if (status !== MISDIRECTED_STATUS || response.requestId !== head.requestId) return;
+          if (head.modelName === undefined) return;
           view.noteMissing(head.modelName, clock.now());
         },
         onChunk: () => rooms.noteChunk(request),
