--- a/programs/serving/invalidRecords.test.ts
+++ b/programs/serving/invalidRecords.test.ts
@@ -152,6 +152,28 @@
     });
   });
 
+  describe('with records of 1 MB that come at once', () => {
+    /** Time within which a server that drains must get no more requests. */
+    const DRAIN_MS = 2000;
+
+    afterEach(stop);
+
+    // Guards against changes that no entry can read, and that are asked for again and again.
+    [1, 5, 12].forEach((count) => {
+      it(`do not keep the entry from learning that a server drains (${count})`, async () => {
+        await start();
+        const large = 'x'.repeat(1_000_000);
+        for (let index = 0; index < count; index += 1) world.store.put(`servers/a${index}`, large);
+        const putAt = performance.now();
+        world.store.putServer('i-app-1', world.apps[0]!.record('app', 'draining'));
+        await changeOf('i-app-1', 'leaving');
+        expect(performance.now() - putAt).to.be.below(DRAIN_MS);
+        await expectServed();
+        expect(world.apps[0]!.runs).to.have.length(0);
+      });
+    });
+  });
+
   describe('that another entry passes on', () => {
     let fleet: EntryFleet;
 
