Collect the body of a request in one storage, whatever its chunks

Cause: each chunk was kept as a buffer of its own until the end of the body, some 100 to 200 bytes of the heap for each, and only the bytes of the body were limited.

Change: chunks are copied into one storage whose size doubles; a body of one chunk is not copied. The buffer of incomplete events uses the same storage.

--- a/core/streams/resumableEventBuffer.ts
+++ b/core/streams/resumableEventBuffer.ts
@@ -1,12 +1,10 @@
+import { ByteBuffer } from '../collections/mod.ts';
+
 const LINE_FEED = 0x0a;
 
 /** Delimiter at the end of each event. */
 const EVENT_END = Buffer.from([LINE_FEED, LINE_FEED]);
 
-const INITIAL_CAPACITY = 1024;
-
-const NO_BYTES: Buffer = Buffer.alloc(0);
-
 const ID_LINE = /^id: ?(\d+)\s*$/m;
 
 function idOf(event: Buffer): number | undefined {
@@ -21,10 +19,7 @@
  * The output always ends with a complete event and contains no event id twice.
  */
 export class ResumableEventBuffer {
-  /** Holds the incomplete event at its beginning; its size doubles, so that each byte is copied a few times only. */
-  #storage = NO_BYTES;
-
-  #partialLength = 0;
+  readonly #partialEvent = new ByteBuffer();
 
   #lastEventId: number | undefined;
 
@@ -35,18 +30,19 @@
 
   /** Whether the buffer holds an incomplete event. */
   get hasPartial(): boolean {
-    return this.#partialLength > 0;
+    return this.#partialEvent.length > 0;
   }
 
   /** Size of the incomplete event. */
   get partialBytes(): number {
-    return this.#partialLength;
+    return this.#partialEvent.length;
   }
 
   /** Adds a chunk of the stream. Returns the events that it completes, without those already returned. */
   push(chunk: Buffer): Buffer {
-    const searchedLength = this.#partialLength;
-    const bytes = searchedLength === 0 ? chunk : this.#append(chunk);
+    const searchedLength = this.#partialEvent.length;
+    if (searchedLength > 0) this.#partialEvent.append(chunk);
+    const bytes = searchedLength > 0 ? this.#partialEvent.bytes : chunk;
     const events: Buffer[] = [];
     let start = 0;
     // The delimiter may begin with the last byte that was there before.
@@ -65,29 +61,15 @@
 
   /** Discards the incomplete event; call this when the server fails. */
   discardPartial(): void {
-    this.#storage = NO_BYTES;
-    this.#partialLength = 0;
-  }
-
-  /** Adds bytes to the incomplete event, and returns all of it. */
-  #append(chunk: Buffer): Buffer {
-    const length = this.#partialLength + chunk.length;
-    if (length > this.#storage.length) {
-      const grown = Buffer.alloc(Math.max(length, 2 * this.#storage.length, INITIAL_CAPACITY));
-      this.#storage.copy(grown, 0, 0, this.#partialLength);
-      this.#storage = grown;
-    }
-    chunk.copy(this.#storage, this.#partialLength);
-    this.#partialLength = length;
-    return this.#storage.subarray(0, length);
+    this.#partialEvent.clear();
   }
 
   /** Keeps the bytes from an offset on as the incomplete event. */
   #keep(bytes: Buffer, start: number): void {
-    if (start === 0 && bytes.length === this.#partialLength) return;
+    if (start === 0 && bytes.length === this.#partialEvent.length) return;
     const rest = bytes.subarray(start);
     this.discardPartial();
-    if (rest.length > 0) this.#append(rest);
+    if (rest.length > 0) this.#partialEvent.append(rest);
   }
 
   #isNew(event: Buffer): boolean {
--- a/proxy/callerServer.test.ts
+++ b/proxy/callerServer.test.ts
@@ -1,3 +1,7 @@
+import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { CallerServer } from './mod.ts';
@@ -339,4 +343,36 @@
       }
     });
   });
+
+  describe('a body in chunks of one byte', () => {
+    const BODY_BYTES = 400_000;
+
+    /** Memory beyond the body itself; a buffer for each chunk takes more than 100 bytes. */
+    const MAX_BYTES_PER_CHUNK = 20;
+
+    function usedBytes(): number {
+      setFlagsFromString('--expose-gc');
+      (runInNewContext('gc') as () => void)();
+      const { heapUsed, external } = process.memoryUsage();
+      return heapUsed + external;
+    }
+
+    // Guards against a body within its limit that fills the heap and ends the process.
+    it('takes little more memory than its bytes, and is handled as a whole', async () => {
+      server.applyLimits({ ...LIMITS, maxBodyBytes: BODY_BYTES });
+      const connection = send('POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n');
+      const piece = '1\r\na\r\n'.repeat(BODY_BYTES / 100);
+      const before = usedBytes();
+      for (let index = 0; index < 100; index += 1) {
+        if (!connection.socket.write(piece)) await once(connection.socket, 'drain');
+        await new Promise(setImmediate);
+      }
+      while (connection.socket.writableLength > 0) await new Promise(setImmediate);
+      await sleep(100);
+      expect(usedBytes() - before).to.be.below(BODY_BYTES * MAX_BYTES_PER_CHUNK);
+      connection.socket.write('0\r\n\r\n');
+      while (requests.length === 0) await sleep(5);
+      expect(requests[0]!.body.equals(Buffer.alloc(BODY_BYTES, 'a'))).to.equal(true);
+    });
+  });
 });
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -5,6 +5,7 @@
 import { onCallerGone, RequestIntake } from '../http/mod.ts';
 import type { RequestArrival } from '../http/mod.ts';
 import { HeaderTimeout } from './_headerTimeout.ts';
+import { RequestBody } from './_requestBody.ts';
 
 /** A caller's request with its complete body. */
 export type CallerRequest = {
@@ -199,7 +200,7 @@
       this.#openRequests -= 1;
     });
     this.#rejectEarlyWithoutBody(request, response);
-    const chunks: Buffer[] = [];
+    const body = new RequestBody();
     let size = 0;
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
@@ -208,15 +209,19 @@
         if (size > this.#limits.maxBodyBytes) request.destroy();
         return;
       }
-      if (size <= this.#limits.maxBodyBytes) chunks.push(chunk);
-      else rejectRequest(request, response, PAYLOAD_TOO_LARGE);
+      if (size <= this.#limits.maxBodyBytes) {
+        body.append(chunk);
+      } else {
+        body.clear();
+        rejectRequest(request, response, PAYLOAD_TOO_LARGE);
+      }
     });
     request.once('end', () => {
       if (response.writableEnded) return;
       if (headerBytes(request) > this.#limits.maxHeaderBytes) {
         rejectRequest(request, response, HEADER_FIELDS_TOO_LARGE);
       } else {
-        this.#handle(request, response, Buffer.concat(chunks));
+        this.#handle(request, response, body.take());
       }
     });
     // A lost connection is handled by the `close` event of the response.
