--- a/tasks/gateway/peerTask.test.ts
+++ b/tasks/gateway/peerTask.test.ts
@@ -46,7 +46,12 @@
   });
 }
 
-function startNode(network: FakeNetwork, address: string, seeds: readonly string[]): Node {
+function startNode(
+  network: FakeNetwork,
+  address: string,
+  seeds: readonly string[],
+  dial = network.dialFrom(address),
+): Node {
   const mirror = new RecordMirror();
   const quarantine = createQuarantine(address);
   const requestQuarantine = createQuarantine(address, REQUEST_POLICY);
@@ -57,7 +62,7 @@
     seeds,
     mirrors: new Map([['op/', mirror]]),
     clock: network.clock,
-    dial: network.dialFrom(address),
+    dial,
     lagMs: () => address.length,
     shared: { quarantine, requests: requestQuarantine, limits, notices },
     services: NO_SERVICES,
@@ -342,4 +347,36 @@
     [[0xc1], [], [0x93, 1, 2, 3]].forEach((bytes) => remote.received(new Uint8Array(bytes)));
     expect(events).to.deep.equal(Array(3).fill('messageUnreadable'));
   });
+
+  describe('with a member whose address cannot be dialled', () => {
+    // Guards against a digest that ends the gossip of the entry that reads it.
+    it('goes on to link to the others and to spread records', () => {
+      const network = new FakeNetwork();
+      const dialFromA = network.dialFrom('a');
+      const a = startNode(network, 'a', ['b'], (address, events) => {
+        if (address === 'no address') throw new Error('invalid address');
+        return dialFromA(address, events);
+      });
+      const b = startNode(network, 'b', []);
+      const accepted = a.task.accept({ send: () => undefined, close: () => undefined });
+      accepted.received(
+        encodeMessagePack({
+          kind: 'digest',
+          address: 'c',
+          lagMs: 0,
+          members: [['no address', 0]],
+          asOf: {},
+        }),
+      );
+      network.run(1500);
+      a.mirror.apply({
+        since: undefined,
+        records: [{ key: 'op/x', value: VALUE, revision: 5 }],
+        asOf: 5,
+      });
+      network.run(1500);
+      expect(b.mirror.asOf).to.equal(5);
+      expect(a.task.members).to.include('b');
+    });
+  });
 });
