Put invalid records into the store during the soak

Cause: the soak had no foreign records.

Change: every fourth step of the soak writes one of the records that name no usable server.

--- a/programs/serving/soak.test.ts
+++ b/programs/serving/soak.test.ts
@@ -7,6 +7,7 @@
 import type { SampleOptions } from '../../platform/testing/mod.ts';
 import { startEntryFleet } from './testing/entryFleet.ts';
 import type { EntryFleet, FleetEntry } from './testing/entryFleet.ts';
+import { INVALID_RECORDS } from './testing/invalidRecords.ts';
 
 const SEEDS = Array.from({ length: Number(process.env.SOAK_SEEDS ?? 5) }, (_, index) => index + 1);
 
@@ -35,6 +36,9 @@
 
 const REQUESTS_PER_STEP = 8;
 
+/** Steps from one record that names no usable server to the next. */
+const INVALID_RECORD_STEPS = 4;
+
 const MAX_FAULTY_SERVERS = 2;
 
 /** Requests after the last step, all of which must be answered. */
@@ -224,6 +228,11 @@
         serving.push(await fleet.addEntry());
       },
     ];
+    const putInvalidRecord = (step: number): void => {
+      const records = Object.values(INVALID_RECORDS);
+      const [key, value] = records[(seed + step / INVALID_RECORD_STEPS) % records.length]!;
+      fleet.store.put(`${key}${step}`, value);
+    };
     for (let step = 0; step < STEPS; step += 1) {
       for (let number = 0; number < REQUESTS_PER_STEP; number += 1) {
         const id = `q${seed}-${step}-${number}`;
@@ -235,6 +244,7 @@
         const agent = agents[pick(agents.length)]!;
         answers.push(send(agent, gateway.callerPort, { id, path, isCrashing, key }));
       }
+      if (step % INVALID_RECORD_STEPS === 0) putInvalidRecord(step);
       await events[pick(events.length)]!();
       await sleep(10);
     }
