Refuse large bodies once those of open requests fill their share of the memory

Cause: nothing bounded the bytes of the bodies that an entry holds until their requests end.

Change: the bodies of open requests take at most 0.3 of the memory that the settings name. A request whose body would exceed that is refused at once with 503 and a Retry-After of 1 to 2 s, before the rest is read; small ones still pass. New: HS8047, bodies_refused_total and held_body_bytes. limitLogRate moved to log/, which programs may import.

--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -397,6 +397,14 @@
     message: 'The configuration is known to be the newest one; requests with keys are served again',
     remedy: 'None needed',
   },
+  bodyRefused: {
+    number: 'HS8047',
+    level: 'warn',
+    message:
+      'A request was refused: the bodies of all open requests fill their share of the memory',
+    remedy:
+      'Look for backend servers that read slowly, or callers that send slowly; or give the host more memory',
+  },
   tokenIssuerSilent: {
     number: 'HS8055',
     level: 'warn',
--- a/tasks/_limitLogRate.ts
+++ b/log/limitLogRate.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '../core/clock/mod.ts';
-import type { Log, LogEventName } from '../log/mod.ts';
+import type { Log, LogEventName } from './catalogue.ts';
 
 /** When an event was last logged, and how often it was suppressed since. */
 type LogState = { readonly at: Milliseconds; dropped: number };
--- a/log/mod.ts
+++ b/log/mod.ts
@@ -3,3 +3,4 @@
 export type { Level, Log, LogEvent, LogEventName, LogFields } from './catalogue.ts';
 export { createLog } from './createLog.ts';
 export type { LogOptions } from './createLog.ts';
+export { limitLogRate } from './limitLogRate.ts';
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -3,6 +3,7 @@
 import { CallerServer } from '../../proxy/mod.ts';
 import { ConfigurationAge } from '../../core/freshness/mod.ts';
 import type { Milliseconds } from '../../core/clock/mod.ts';
+import { limitLogRate } from '../../log/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { Metrics } from '../../metrics/mod.ts';
 import type { ProcessSettings } from '../../platform/mod.ts';
@@ -32,6 +33,11 @@
   idleTimeoutMs: 15_000,
 } as const;
 
+const BYTES_IN_MB = 1_000_000;
+
+/** Share of the memory that the bodies of open requests may take. */
+const MAX_BODY_MEMORY_SHARE = 0.3;
+
 /** Time after SIGTERM during which new requests are still served; the load balancer needs two seconds to react. */
 const LAME_DUCK_MS: Milliseconds = 2600;
 
@@ -87,12 +93,20 @@
       keyWithdrawalMs: settings.keyWithdrawalMs,
     },
   });
-  const server = new CallerServer({
+  const rateLimitedLog = limitLogRate(log, realClock);
+  const server: CallerServer = new CallerServer({
     ...splitAddress(settings.callerAddress ?? `${settings.ip}:0`),
     limits: INITIAL_CALLER_LIMITS,
     handle: (request) => gateway.handle(request),
     rejectEarly: (request) => gateway.rejectEarly(request),
     onCallerGone: (request) => gateway.noteCallerGone(request),
+    ...(settings.memoryMb > 0 && {
+      maxHeldBodyBytes: settings.memoryMb * BYTES_IN_MB * MAX_BODY_MEMORY_SHARE,
+    }),
+    onBodyRefused: () => {
+      metrics.count('bodies_refused_total');
+      rateLimitedLog('bodyRefused', { heldBodyBytes: server.heldBodyBytes });
+    },
     onTurn: (tookMs) => metrics.record('loop_turn_ms', tookMs),
   });
   const records = new StoreRecords({
@@ -137,6 +151,7 @@
   records.start();
   metrics.gauge('open_requests', () => gateway.openRequestCount);
   metrics.gauge('open_connections', () => server.openConnectionCount);
+  metrics.gauge('held_body_bytes', () => server.heldBodyBytes);
   metrics.gauge('accept_run', () => server.acceptRun);
   metrics.gauge('intake_wait_ms', () => Math.round(server.oldestWaitMs));
   metrics.gauge('known_servers', () => gateway.servers.size);
--- a/proxy/callerServer.test.ts
+++ b/proxy/callerServer.test.ts
@@ -375,4 +375,59 @@
       expect(requests[0]!.body.equals(Buffer.alloc(BODY_BYTES, 'a'))).to.equal(true);
     });
   });
+
+  describe('bodies of open requests that fill their share of the memory', () => {
+    const MAX_HELD_BYTES = 2000;
+
+    const post = (path: string, size: number, isKept = true): string =>
+      `POST ${path} HTTP/1.1\r\nHost: a\r\n${isKept ? '' : 'Connection: close\r\n'}Content-Length: ${size}\r\n\r\n${'b'.repeat(size)}`;
+
+    let refusals: number;
+
+    beforeEach(async () => {
+      server.abort();
+      refusals = 0;
+      server = new CallerServer({
+        ip: '127.0.0.1',
+        port: 0,
+        limits: LIMITS,
+        maxHeldBodyBytes: MAX_HELD_BYTES,
+        onBodyRefused: () => {
+          refusals += 1;
+        },
+        handle: (request) => {
+          requests.push(request);
+          respond(request);
+        },
+      });
+      await server.listen();
+    });
+
+    // Guards against servers that read slowly and make the process exceed its memory.
+    it('refuse a further large one at once, with a time to return, and let small ones pass', async () => {
+      respond = () => undefined;
+      send(post('/a', 900));
+      send(post('/b', 900));
+      while (requests.length < 2) await sleep(5);
+      const refused = await send(post('/c', 900)).closed;
+      expect(refused).to.match(/^HTTP\/1\.1 503 .*\r\n/);
+      expect(refused).to.match(/retry-after: [12]\.\d\r\n/);
+      expect(refusals).to.equal(1);
+      respond = respondOk;
+      expect(await send(post('/d', 50, false)).closed).to.match(/^HTTP\/1\.1 200 /);
+      expect(requests.map(({ path }) => path)).to.deep.equal(['/a', '/b', '/d']);
+    });
+
+    it('make room when their requests end, complete or not', async () => {
+      respond = () => undefined;
+      const first = send(post('/a', 900));
+      send(post('/b', 900));
+      while (requests.length < 2) await sleep(5);
+      first.socket.destroy();
+      respondOk(requests[1]!);
+      while (server.heldBodyBytes > 0) await sleep(5);
+      respond = respondOk;
+      expect(await send(post('/c', 900, false)).closed).to.match(/^HTTP\/1\.1 200 /);
+    });
+  });
 });
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -66,6 +66,10 @@
   readonly rejectEarly?: (request: EarlyRequest) => boolean;
   /** Called instead of `handle` if the caller left before. @default does nothing */
   readonly onCallerGone?: (request: CallerRequest) => void;
+  /** Bytes of the bodies of all open requests above which a further one is refused. @default no limit */
+  readonly maxHeldBodyBytes?: number;
+  /** Called when a request is refused because of `maxHeldBodyBytes`. @default does nothing */
+  readonly onBodyRefused?: () => void;
   /** Called after each turn of the event loop with socket events. @default does nothing */
   readonly onTurn?: (tookMs: Milliseconds) => void;
 };
@@ -74,6 +78,11 @@
 
 const HEADER_FIELDS_TOO_LARGE = 431;
 
+const UNAVAILABLE = 503;
+
+/** Shortest time after which a caller whose body was refused may return. */
+const RETURN_DELAY_S = 1;
+
 /** Header size limit of the parser; the configured limit is checked afterwards. */
 const MAX_PARSER_HEADER_BYTES = 65_536;
 
@@ -88,11 +97,16 @@
 }
 
 /** Rejects a request that exceeds a limit; discards the rest and closes the connection. */
-function rejectRequest(request: IncomingMessage, response: ServerResponse, status: number): void {
+function rejectRequest(
+  request: IncomingMessage,
+  response: ServerResponse,
+  status: number,
+  headers: Readonly<Record<string, string>> = {},
+): void {
   if (response.headersSent) return;
   request.removeAllListeners('data');
   request.resume();
-  response.writeHead(status, { 'content-length': 0, connection: 'close' });
+  response.writeHead(status, { 'content-length': 0, connection: 'close', ...headers });
   response.end();
 }
 
@@ -112,6 +126,9 @@
 
   #openRequests = 0;
 
+  /** Bytes of the bodies of all open requests. */
+  #heldBodyBytes = 0;
+
   constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#limits = options.limits;
@@ -140,6 +157,11 @@
     return this.#openRequests;
   }
 
+  /** Bytes of the bodies of all open requests. */
+  get heldBodyBytes(): number {
+    return this.#heldBodyBytes;
+  }
+
   /** Number of turns of the event loop in a row, up to now, that each accepted a connection. */
   get acceptRun(): number {
     return this.#intake.acceptRun;
@@ -192,7 +214,15 @@
     this.#server.closeAllConnections();
   }
 
+  /** Refuses a request that has not run, spread over time so that callers do not return together. */
+  #refuseBody(request: IncomingMessage, response: ServerResponse): void {
+    const delayS = RETURN_DELAY_S * (1 + Math.random());
+    rejectRequest(request, response, UNAVAILABLE, { 'retry-after': delayS.toFixed(1) });
+    this.#options.onBodyRefused?.();
+  }
+
   #readRequest(request: IncomingMessage, response: ServerResponse): void {
+    const { maxHeldBodyBytes = Infinity } = this.#options;
     this.#headerTimeout.noteHeadersComplete(request);
     response.sendDate = false;
     this.#openRequests += 1;
@@ -202,6 +232,10 @@
     this.#rejectEarlyWithoutBody(request, response);
     const body = new RequestBody();
     let size = 0;
+    let heldBytes = 0;
+    response.once('close', () => {
+      this.#heldBodyBytes -= heldBytes;
+    });
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (response.headersSent) {
@@ -209,11 +243,16 @@
         if (size > this.#limits.maxBodyBytes) request.destroy();
         return;
       }
-      if (size <= this.#limits.maxBodyBytes) {
-        body.append(chunk);
-      } else {
+      if (size > this.#limits.maxBodyBytes) {
         body.clear();
         rejectRequest(request, response, PAYLOAD_TOO_LARGE);
+      } else if (this.#heldBodyBytes + chunk.length > maxHeldBodyBytes) {
+        body.clear();
+        this.#refuseBody(request, response);
+      } else {
+        this.#heldBodyBytes += chunk.length;
+        heldBytes += chunk.length;
+        body.append(chunk);
       }
     });
     request.once('end', () => {
--- a/tasks/_repeatSteps.ts
+++ b/tasks/_repeatSteps.ts
@@ -1,8 +1,8 @@
 import { repeat } from '../core/clock/mod.ts';
 import type { Cancellation, Clock, Milliseconds } from '../core/clock/mod.ts';
 import { runAll } from '../core/collections/mod.ts';
+import { limitLogRate } from '../log/mod.ts';
 import type { Log } from '../log/mod.ts';
-import { limitLogRate } from './_limitLogRate.ts';
 
 /** Options of `repeatSteps`. */
 export type RepeatStepsOptions = {
--- a/tasks/gateway/_serverNotices.ts
+++ b/tasks/gateway/_serverNotices.ts
@@ -2,10 +2,10 @@
 import { NoticeRegistry } from '../../core/serverNotices/mod.ts';
 import type { ServerStart } from '../../core/serverNotices/mod.ts';
 import type { BackendServer } from '../../core/serving/mod.ts';
+import { limitLogRate } from '../../log/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { ResponseHeaders } from '../../platform/mod.ts';
-import { limitLogRate } from '../_limitLogRate.ts';
 
 /** Options of `ServerNotices`. */
 export type ServerNoticesOptions = {
--- a/tasks/gateway/_tokenLimitGate.ts
+++ b/tasks/gateway/_tokenLimitGate.ts
@@ -1,9 +1,9 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { Deployment, Tenant, TokenLimit } from '../../core/serving/mod.ts';
 import type { LimitBounds, TokenDemand } from '../../core/tokenLimits/mod.ts';
+import { limitLogRate } from '../../log/mod.ts';
 import type { Log, LogFields } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
-import { limitLogRate } from '../_limitLogRate.ts';
 import type { Dial } from '../ports/mod.ts';
 import { BusyTenants } from './_busyTenants.ts';
 import { tenantOf } from './_openRequest.ts';
--- a/tasks/gateway/tokenLimitTask.ts
+++ b/tasks/gateway/tokenLimitTask.ts
@@ -12,9 +12,9 @@
   TokenDemand,
   TokenUse,
 } from '../../core/tokenLimits/mod.ts';
+import { limitLogRate } from '../../log/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
-import { limitLogRate } from '../_limitLogRate.ts';
 import type { Dial } from '../ports/mod.ts';
 import { repeatSteps } from '../_repeatSteps.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
--- a/tasks/sidecar/sidecarTask.ts
+++ b/tasks/sidecar/sidecarTask.ts
@@ -19,11 +19,11 @@
 import { notRun } from '../../core/outcome/mod.ts';
 import { createAdaptiveRateLimiter } from '../../core/residence/mod.ts';
 import type { PublishedSet } from '../../core/set/mod.ts';
+import { limitLogRate } from '../../log/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import { decodeEnvelope, encodeEnvelope } from '../_codec.ts';
 import { dispatch } from '../_handlers.ts';
 import type { Handlers } from '../_handlers.ts';
-import { limitLogRate } from '../_limitLogRate.ts';
 import { Mailbox } from '../mailbox/mod.ts';
 import type { Connection, ConnectionEvents, Engine, PlainService } from '../ports/mod.ts';
 import type { SetEvent } from '../set/mod.ts';
