Log how long a caller's connection had not been read when its request was sent

The hypotheses about late work and late answers could not be told apart: the log said how long a turn took before a request was handled, not how old the read was on which its sending rested, and nothing measured answers after their deadline. HS8020 has unreadMs, the metrics sent_unread_ms, intake_waited_ms and deadline_overrun_ms.

--- a/http/_loopTurns.test.ts
+++ b/http/_loopTurns.test.ts
@@ -16,6 +16,19 @@
     expect(counts).to.deep.equal([1, 2, 3, 0, 1]);
   });
 
+  it('knows when sockets were read once it has observed a whole turn', async () => {
+    let hasWork = true;
+    const turns = new LoopTurns({ hasWork: () => hasWork });
+    turns.noteEvent();
+    await nextTurn();
+    expect(turns.readAt).to.equal(-Infinity);
+    const firstTurnEndedBy = performance.now();
+    await nextTurn();
+    expect(turns.readAt).to.be.at.most(firstTurnEndedBy);
+    hasWork = false;
+    turns.close();
+  });
+
   it('ends a row in a turn without any event', async () => {
     const turns = new LoopTurns();
     turns.noteAccepted();
--- a/http/_loopTurns.ts
+++ b/http/_loopTurns.ts
@@ -30,6 +30,11 @@
 
   #beganAt: Milliseconds = 0;
 
+  /** Whether the current turn is observed from its beginning, and not only from its first event. */
+  #isWhole = false;
+
+  #readAt: Milliseconds = -Infinity;
+
   #hasAccepted = false;
 
   #lastTurnMs: Milliseconds = 0;
@@ -51,6 +56,14 @@
     return this.#acceptRun;
   }
 
+  /**
+   * When the sockets were last read: all that had arrived by then has been handled. `-Infinity` while no
+   * turn has been observed from its beginning.
+   */
+  get readAt(): Milliseconds {
+    return this.#readAt;
+  }
+
   /** Records that a connection was accepted. */
   noteAccepted(): void {
     this.#hasAccepted = true;
@@ -59,9 +72,7 @@
 
   /** Records any other event of a socket. */
   noteEvent(): void {
-    if (this.#immediate !== undefined) return;
-    this.#beganAt = performance.now();
-    this.#immediate = setImmediate(() => this.#endTurn());
+    if (this.#immediate === undefined) this.#observe(false);
   }
 
   /** Stops the observation. */
@@ -69,14 +80,21 @@
     clearImmediate(this.#immediate);
   }
 
+  #observe(isWhole: boolean): void {
+    this.#isWhole = isWhole;
+    this.#beganAt = performance.now();
+    this.#immediate = setImmediate(() => this.#endTurn());
+  }
+
   #endTurn(): void {
     this.#immediate = undefined;
     this.#lastTurnMs = performance.now() - this.#beganAt;
+    if (this.#isWhole) this.#readAt = this.#beganAt;
     const hasAccepted = this.#hasAccepted;
     this.#acceptRun = hasAccepted ? this.#acceptRun + 1 : 0;
     this.#hasAccepted = false;
     this.#onTurn({ tookMs: this.#lastTurnMs, hasAccepted });
     // A row of accepting turns ends with the first turn without an accepted connection.
-    if (this.#acceptRun > 0 || this.#hasWork()) this.noteEvent();
+    if (this.#acceptRun > 0 || this.#hasWork()) this.#observe(true);
   }
 }
--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -119,6 +119,11 @@
     return this.#turns.acceptRun;
   }
 
+  /** When the sockets were last read; `-Infinity` if that is not known. */
+  get readAt(): Milliseconds {
+    return this.#turns.readAt;
+  }
+
   /** How long the oldest request that was read and is not handled yet has waited. */
   get oldestWaitMs(): Milliseconds {
     return this.#queue.oldestWaitMs(performance.now());
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -8,6 +8,7 @@
 import { Metrics } from '../../metrics/mod.ts';
 import type { ProcessSettings } from '../../platform/mod.ts';
 import { Gateway, LoadSheddingTask } from '../../tasks/gateway/mod.ts';
+import { RequestIntake } from '../../http/mod.ts';
 import { dialWebSocket, readFirstClock, realClock } from '../../transport/mod.ts';
 import { splitAddress } from './_splitAddress.ts';
 import { NO_PEERS, startPeers } from './_startPeers.ts';
@@ -67,6 +68,9 @@
   let { graceMs } = settings;
   const configurationAge = new ConfigurationAge();
   const serverRecordsAge = new ConfigurationAge();
+  const intake = new RequestIntake({
+    onTurn: (tookMs) => metrics.record('loop_turn_ms', tookMs),
+  });
   const gateway = new Gateway({
     entryId: `${settings.host}/${randomUUID()}`,
     availabilityZone: settings.availabilityZone,
@@ -82,6 +86,7 @@
     onSharedChange: () => peers.pushChanges(),
     clock: readFirstClock,
     dial: dialWebSocket,
+    socketsReadAt: () => intake.readAt,
     log,
     metrics,
     random: Math.random,
@@ -97,7 +102,10 @@
   const server: CallerServer = new CallerServer({
     ...splitAddress(settings.callerAddress ?? `${settings.ip}:0`),
     limits: INITIAL_CALLER_LIMITS,
-    handle: (request) => gateway.handle(request),
+    handle: (request) => {
+      metrics.record('intake_waited_ms', request.arrival.waitedMs);
+      gateway.handle(request);
+    },
     rejectEarly: (request) => gateway.rejectEarly(request),
     onCallerGone: (request) => gateway.noteCallerGone(request),
     ...(settings.memoryMb > 0 && {
@@ -107,7 +115,7 @@
       metrics.count('bodies_refused_total');
       rateLimitedLog('bodyRefused', { heldBodyBytes: server.heldBodyBytes });
     },
-    onTurn: (tookMs) => metrics.record('loop_turn_ms', tookMs),
+    intake,
   });
   const records = new StoreRecords({
     settings,
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -70,8 +70,8 @@
   readonly maxHeldBodyBytes?: number;
   /** Called when a request is refused because of `maxHeldBodyBytes`. @default does nothing */
   readonly onBodyRefused?: () => void;
-  /** Called after each turn of the event loop with socket events. @default does nothing */
-  readonly onTurn?: (tookMs: Milliseconds) => void;
+  /** Passes on the requests; closed with the server. @default one of its own */
+  readonly intake?: RequestIntake;
 };
 
 const PAYLOAD_TOO_LARGE = 413;
@@ -146,8 +146,7 @@
       this.#readRequestAfterContinue(request, response),
     );
     this.#server.on('connection', (socket) => this.#headerTimeout.add(socket));
-    const { onTurn } = options;
-    this.#intake = new RequestIntake(onTurn === undefined ? {} : { onTurn });
+    this.#intake = options.intake ?? new RequestIntake();
     this.#intake.observe(this.#server);
     this.applyLimits(options.limits);
   }
--- a/tasks/gateway/_attempts.ts
+++ b/tasks/gateway/_attempts.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../../core/clock/mod.ts';
+import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import { MISDIRECTED_STATUS, nextStep } from '../../core/dispatch/mod.ts';
 import type { AttemptOutcome, ServerView } from '../../core/dispatch/mod.ts';
 import type { Log } from '../../log/mod.ts';
@@ -27,6 +27,8 @@
 /** Options of `Attempts`. */
 export type AttemptsOptions = {
   readonly clock: Clock;
+  /** Returns when the callers' sockets were last read. @default it is not known */
+  readonly socketsReadAt?: () => Milliseconds;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly access: ServerAccess;
@@ -72,6 +74,7 @@
     request.isAwaitingAdapter = false;
     request.attemptEpoch += 1;
     request.sentAt = now;
+    this.#noteUnread(request);
     request.writingSince = undefined;
     request.isProvenSound = false;
     guard.noteSent(request);
@@ -118,6 +121,14 @@
     );
   }
 
+  /** Records for how long the caller's connection had not been read when its request was sent. */
+  #noteUnread(request: OpenRequest): void {
+    const { metrics, socketsReadAt = () => -Infinity } = this.#options;
+    const unreadMs = request.sentAt - socketsReadAt();
+    request.unreadMs = Number.isFinite(unreadMs) ? unreadMs : undefined;
+    if (request.unreadMs !== undefined) metrics.record('sent_unread_ms', request.unreadMs);
+  }
+
   /** Retries, refuses or fails a request after an attempt without a complete response. */
   #handleFailure(
     request: OpenRequest,
--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -76,6 +76,7 @@
     tookMs: Math.round(tookMs),
     ...describeArrival(request.caller.arrival),
     sentAfterMs: request.sentAt === 0 ? undefined : Math.round(request.sentAt - request.acceptedAt),
+    unreadMs: request.unreadMs === undefined ? undefined : Math.round(request.unreadMs),
     firstByteMs: request.firstByteMs === undefined ? undefined : Math.round(request.firstByteMs),
     longestPauseMs: Math.round(request.longestPauseMs),
     mayHaveRun: request.mayHaveRunCount,
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -41,6 +41,8 @@
   attemptEpoch: number;
   /** When the current attempt was sent. */
   sentAt: Milliseconds;
+  /** Time from the last read of the callers' sockets to the current attempt; `undefined` if not known. */
+  unreadMs: Milliseconds | undefined;
   /** Time from accepting the request to the first byte of the response body; `undefined` before. */
   firstByteMs: Milliseconds | undefined;
   lastChunkAt: Milliseconds;
@@ -140,6 +142,7 @@
     attempt: undefined,
     attemptEpoch: 0,
     sentAt: 0,
+    unreadMs: undefined,
     firstByteMs: undefined,
     lastChunkAt: 0,
     writingSince: undefined,
--- a/tasks/gateway/_requestEndings.ts
+++ b/tasks/gateway/_requestEndings.ts
@@ -126,6 +126,8 @@
     const { clock, metrics, deployment, describeConfiguration, onFinished } = this.#options;
     onFinished(request, end);
     const tookMs = clock.now() - request.acceptedAt;
+    const lateMs = clock.now() - request.deadlineAt;
+    if (lateMs > 0 && end !== 'caller-gone') metrics.record('deadline_overrun_ms', lateMs);
     metrics.record('request_ms', tookMs, { route: request.route.name, end });
     this.logEnd(request.head.requestId, end, {
       ...fields,
--- a/tasks/gateway/gatewayOptions.ts
+++ b/tasks/gateway/gatewayOptions.ts
@@ -17,6 +17,8 @@
   /** Must run scheduled calls after reading the sockets that are readable by then. */
   readonly clock: Clock;
   readonly dial: Dial;
+  /** Returns when the callers' sockets were last read. @default it is not known */
+  readonly socketsReadAt?: () => Milliseconds;
   readonly log: Log;
   readonly metrics: Metrics;
   /** Name of this entry among its peers. @default `entryId` */
