--- a/programs/serving/callerGone.test.ts
+++ b/programs/serving/callerGone.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai';
+import { connectLeavingCallers } from '../../http/testing/leavingCallers.ts';
 import { queueConnections } from '../../http/testing/queueConnections.ts';
+import { slowTurns } from '../../http/testing/slowTurns.ts';
 import { openRawConnection } from '../../proxy/testing/rawConnection.ts';
 import { pauseProcess } from '../../transport/testing/pauseProcess.ts';
 import { startServingWorld } from './testing/servingWorld.ts';
@@ -111,3 +113,39 @@
     expect(placements).to.have.length(1);
   });
 });
+
+describe('a caller that left while a turn of the event loop lasted long', () => {
+  const TURN_MS = 1000;
+
+  const CALLER_COUNT = 24;
+
+  let world: ServingWorld;
+
+  beforeEach(async () => {
+    world = await startServingWorld({ graceMs: 200, timeoutMs: 20_000 });
+  });
+
+  afterEach(async () => {
+    await world.close();
+  });
+
+  // Guards against forwarding on a read of the caller's connection from before its close arrived.
+  it('has no server run its request, whenever in the turn it left', async () => {
+    const callers = await connectLeavingCallers({
+      port: world.gateway.callerPort,
+      count: CALLER_COUNT,
+      intervalMs: TURN_MS / CALLER_COUNT,
+      patienceMs: TURN_MS * 2.5,
+      request: (index) =>
+        `GET /look/1 HTTP/1.1\r\nHost: house.example\r\nX-Request-Id: gone-${index}\r\n` +
+        'X-Deadline-Ms: 20000\r\n\r\n',
+    });
+    // Idle connections let requests leave at once.
+    const warmUps = Array.from({ length: CALLER_COUNT * 2 }, (_, index) => `first-${index}`);
+    await Promise.all(warmUps.map((id) => world.call({ id, path: '/look/first' })));
+    await Promise.all([callers.send(), slowTurns({ turnMs: TURN_MS, turns: 6 })]);
+    await world.call({ id: 'later', path: '/look/later' });
+    const ids = world.apps.flatMap(({ runs }) => runs).map((run) => run.headers['x-request-id']);
+    expect(ids.filter((id) => String(id).startsWith('gone'))).to.deep.equal([]);
+  });
+});
