Send a request only if the callers' sockets have been read a moment ago

Callers saw: backend servers worked for callers that had left half a second before and more (GONE).

Cause: a request was sent on the knowledge of a read that was as old as the last turn of the event loop was long. The intake reads a caller's connection once more before it handles a request, but bounded neither the length of that turn nor what came after it.

Change: the intake knows when the sockets were last read. Requests, and new connections, wait until that was at most 200 ms ago. undici's own check of a connection is followed by another look; a request that fails it is not written and starts again. The timeout for opening a connection ends once the connection is open, and is looked at after the sockets were read.

--- a/http/_loopTurns.ts
+++ b/http/_loopTurns.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from '../core/clock/mod.ts';
+import type { Cancellation, Milliseconds } from '../core/clock/mod.ts';
 
 /** A turn of the event loop that has ended. */
 export type LoopTurn = {
@@ -13,6 +13,18 @@
   readonly onTurn?: (turn: LoopTurn) => void;
   /** Whether the next turn must be observed although no event is known yet. @default never */
   readonly hasWork?: () => boolean;
+  /** Age up to which the last read of the sockets is recent. @default 200 */
+  readonly maxReadAgeMs?: Milliseconds;
+};
+
+/** Tells how long ago the sockets were read, and so what may have arrived that is not known yet. */
+export type SocketReads = {
+  /** When the sockets were last read: all that had arrived by then has been handled. */
+  readonly readAt: Milliseconds;
+  /** Whether the sockets were read a moment ago. */
+  readonly isRecent: boolean;
+  /** Calls `run` as soon as the sockets were read a moment ago; at once if that is so. */
+  readonly afterRead: (run: () => void) => Cancellation;
 };
 
 /**
@@ -21,11 +33,16 @@
  * The event loop accepts one connection per turn, so a run of turns that each accepted one shows
  * that connections wait in the listen queue of the kernel.
  */
-export class LoopTurns {
+export class LoopTurns implements SocketReads {
   readonly #onTurn: (turn: LoopTurn) => void;
 
   readonly #hasWork: () => boolean;
 
+  readonly #maxReadAgeMs: Milliseconds;
+
+  /** Calls that wait for a recent read. */
+  readonly #awaitingRead = new Set<() => void>();
+
   #immediate: NodeJS.Immediate | undefined;
 
   #beganAt: Milliseconds = 0;
@@ -41,9 +58,14 @@
 
   #acceptRun = 0;
 
-  constructor({ onTurn = () => undefined, hasWork = () => false }: LoopTurnsOptions = {}) {
+  constructor({
+    onTurn = () => undefined,
+    hasWork = () => false,
+    maxReadAgeMs = 200,
+  }: LoopTurnsOptions = {}) {
     this.#onTurn = onTurn;
     this.#hasWork = hasWork;
+    this.#maxReadAgeMs = maxReadAgeMs;
   }
 
   /** Time that the last observed turn took. */
@@ -64,6 +86,27 @@
     return this.#readAt;
   }
 
+  /** Whether the sockets were read a moment ago. */
+  get isRecent(): boolean {
+    return performance.now() - this.#readAt <= this.#maxReadAgeMs;
+  }
+
+  /**
+   * Calls `run` as soon as the sockets were read a moment ago; at once if that is so. Long turns are
+   * waited out.
+   */
+  afterRead(run: () => void): Cancellation {
+    this.noteEvent();
+    if (this.isRecent) {
+      run();
+      return () => undefined;
+    }
+    // A function of its own, as the same one may be passed twice.
+    const call = (): void => run();
+    this.#awaitingRead.add(call);
+    return () => this.#awaitingRead.delete(call);
+  }
+
   /** Records that a connection was accepted. */
   noteAccepted(): void {
     this.#hasAccepted = true;
@@ -93,8 +136,20 @@
     const hasAccepted = this.#hasAccepted;
     this.#acceptRun = hasAccepted ? this.#acceptRun + 1 : 0;
     this.#hasAccepted = false;
+    // A row of accepting turns ends with the first turn without an accepted connection. What is done now may
+    // depend on the reads of the next turn.
+    const mustGoOn = this.#acceptRun > 0 || this.#awaitingRead.size > 0 || this.#hasWork();
+    if (mustGoOn) this.#observe(true);
     this.#onTurn({ tookMs: this.#lastTurnMs, hasAccepted });
-    // A row of accepting turns ends with the first turn without an accepted connection.
-    if (this.#acceptRun > 0 || this.#hasWork()) this.#observe(true);
+    this.#runAwaitingRead();
+    if (!mustGoOn && (this.#awaitingRead.size > 0 || this.#hasWork())) this.#observe(true);
+  }
+
+  /** Runs the calls that wait for a recent read, until the read is no longer recent. */
+  #runAwaitingRead(): void {
+    for (const call of [...this.#awaitingRead]) {
+      if (!this.isRecent) return;
+      if (this.#awaitingRead.delete(call)) call();
+    }
   }
 }
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -3,6 +3,7 @@
 export type { HttpAddress, HttpHandler, HttpListener } from './listen.ts';
 export { readBody } from './readBody.ts';
 export type { BodyResult } from './readBody.ts';
+export type { SocketReads } from './_loopTurns.ts';
 export { onCallerGone, RequestIntake } from './requestIntake.ts';
 export type { ReadRequest, RequestArrival, RequestIntakeOptions } from './requestIntake.ts';
 export { respondJson, respondText } from './respond.ts';
--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -3,6 +3,7 @@
 import { IntakeQueue } from '../core/admission/mod.ts';
 import type { Milliseconds } from '../core/clock/mod.ts';
 import { LoopTurns } from './_loopTurns.ts';
+import type { SocketReads } from './_loopTurns.ts';
 
 /** How a request was read, which tells where it may have waited before. */
 export type RequestArrival = {
@@ -119,9 +120,9 @@
     return this.#turns.acceptRun;
   }
 
-  /** When the sockets were last read; `-Infinity` if that is not known. */
-  get readAt(): Milliseconds {
-    return this.#turns.readAt;
+  /** Tells how long ago the callers' sockets were read. */
+  get reads(): SocketReads {
+    return this.#turns;
   }
 
   /** How long the oldest request that was read and is not handled yet has waited. */
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -86,7 +86,7 @@
     onSharedChange: () => peers.pushChanges(),
     clock: readFirstClock,
     dial: dialWebSocket,
-    socketsReadAt: () => intake.readAt,
+    socketReads: intake.reads,
     log,
     metrics,
     random: Math.random,
--- a/proxy/backendConnections.test.ts
+++ b/proxy/backendConnections.test.ts
@@ -302,4 +302,77 @@
       });
     });
   });
+
+  describe("while the callers' sockets have not been read for long", () => {
+    let isRecent: boolean;
+    let waiting: (() => void)[];
+
+    /** Lets the sockets be read. */
+    function read(): void {
+      isRecent = true;
+      waiting.splice(0).forEach((run) => run());
+    }
+
+    beforeEach(() => {
+      isRecent = false;
+      waiting = [];
+      connections.close();
+      const address = server.address();
+      const port = typeof address === 'object' && address !== null ? address.port : 0;
+      connections = new BackendConnections({
+        address: `127.0.0.1:${port}`,
+        socketReads: {
+          get isRecent() {
+            return isRecent;
+          },
+          afterRead: (run) => {
+            if (isRecent) run();
+            else waiting.push(run);
+            return () => {
+              waiting = waiting.filter((each) => each !== run);
+            };
+          },
+        },
+      });
+    });
+
+    it('sends nothing, on a new connection or on one in use before', async () => {
+      const paths: string[] = [];
+      behave = (socket, received) => {
+        paths.push(received.split(' ')[1] ?? '');
+        socket.write(OK);
+      };
+      const first = send('/new');
+      await settle();
+      isRecent = true;
+      waiting.splice(0).forEach((run) => run());
+      isRecent = false;
+      await settle();
+      expect(paths).to.deep.equal([]);
+      read();
+      expect((await first).end).to.equal('whole');
+      await settle();
+      const second = send('/kept');
+      isRecent = false;
+      await settle();
+      expect(paths).to.deep.equal(['/new']);
+      read();
+      await settle();
+      read();
+      expect((await second).end).to.equal('whole');
+      expect(paths).to.deep.equal(['/new', '/kept']);
+    });
+
+    it('sends nothing of a request that is aborted then', async () => {
+      let receivedCount = 0;
+      behave = () => {
+        receivedCount += 1;
+      };
+      const events = { head: () => true, data: () => true, end: () => {}, failed: () => {} };
+      connections.send(request('/aborted'), events).abort();
+      read();
+      await settle();
+      expect(receivedCount).to.equal(0);
+    });
+  });
 });
--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -1,6 +1,10 @@
 import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
 import type { Milliseconds } from '../core/clock/mod.ts';
+import type { SocketReads } from '../http/mod.ts';
+import { limitOverhead } from './_connection.ts';
+import type { Connection } from './_connection.ts';
+import { Sending } from './_sending.ts';
 import { ConnectionsExhaustedError } from './connectionsExhaustedError.ts';
 
 /** A request to a backend server. */
@@ -13,6 +17,8 @@
   readonly body: Buffer;
   /** Whether an idle connection may be reused only if it was in use recently. */
   readonly needsRecentConnection: boolean;
+  /** Called just before the first byte is sent. @default does nothing */
+  readonly onWrite?: () => void;
 };
 
 /** Handlers of a response, called in this order; the last call is `end` or `failed`. */
@@ -45,56 +51,24 @@
   readonly connectTimeoutMs?: Milliseconds;
   /** Idle time up to which a connection counts as recently used. @default 700 */
   readonly recentIdleMs?: Milliseconds;
+  /**
+   * Tells how long ago the callers' sockets were read; nothing is sent unless that was a moment ago.
+   *
+   * @default they always have just been read
+   */
+  readonly socketReads?: Pick<SocketReads, 'isRecent' | 'afterRead'>;
 };
 
-/** Idle time after which a connection is closed; shorter than that of backend servers. */
-const IDLE_TIMEOUT_MS: Milliseconds = 4000;
-
-/** Lower statuses are interim (1xx) responses. */
-const FIRST_FINAL_STATUS = 200;
-
-/** Bytes of a response that are not part of its body: its head, framing and trailers. */
-const MAX_OVERHEAD_BYTES = 262_144;
-
-/** Bytes of framing for each byte of the body, at most: the body may come in chunks of one byte. */
-const MAX_FRAMING_BYTES_PER_BODY_BYTE = 16;
-
-type Connection = {
-  readonly client: Client;
-  /** Bytes of the current response's body so far. */
-  bodyBytes: number;
-  /** Bytes that the socket had received before the current response. */
-  bytesReadBefore: number;
-  socket: Socket | undefined;
-  /** Called when the current response has more bytes outside its body than any sound one. */
-  onOverhead: () => void;
-  /** Set when the socket fails, which undici reports as the regular end of some responses. */
-  readonly socketState: { wasReset: boolean };
-  isOpen: boolean;
-  openedAt: Milliseconds;
-  idleSince: Milliseconds;
+const ALWAYS_RECENT: Pick<SocketReads, 'isRecent' | 'afterRead'> = {
+  isRecent: true,
+  afterRead: (run) => {
+    run();
+    return () => undefined;
+  },
 };
 
-/** The parser accepts heads, interim responses, framing and trailers of any length. */
-function limitOverhead({ socket, bytesReadBefore, bodyBytes, onOverhead }: Connection): void {
-  const overheadBytes = (socket?.bytesRead ?? 0) - bytesReadBefore - bodyBytes;
-  const maxBytes = MAX_OVERHEAD_BYTES + bodyBytes * MAX_FRAMING_BYTES_PER_BODY_BYTE;
-  if (overheadBytes > maxBytes) onOverhead();
-}
-
-/** Fails a request of which nothing was sent. */
-function failSoon(events: ResponseEvents, error: Error): RequestHandle {
-  let isAborted = false;
-  queueMicrotask(() => {
-    if (!isAborted) events.failed(error, false);
-  });
-  return {
-    resume: () => undefined,
-    abort: () => {
-      isAborted = true;
-    },
-  };
-}
+/** Idle time after which a connection is closed; shorter than that of backend servers. */
+const IDLE_TIMEOUT_MS: Milliseconds = 4000;
 
 /**
  * A pool of connections to one backend server; each carries one request at a time.
@@ -110,20 +84,29 @@
   readonly #all = new Set<Connection>();
 
   constructor(options: BackendConnectionsOptions) {
-    this.#options = { maxConnections: 90, connectTimeoutMs: 600, recentIdleMs: 700, ...options };
+    this.#options = {
+      maxConnections: 90,
+      connectTimeoutMs: 600,
+      recentIdleMs: 700,
+      socketReads: ALWAYS_RECENT,
+      ...options,
+    };
   }
 
   /** Sends a request. */
   send(request: BackendRequest, events: ResponseEvents): RequestHandle {
-    let connection: Connection | undefined;
-    try {
-      connection = this.#acquire(request.needsRecentConnection);
-    } catch (error) {
-      // The address of the server is invalid.
-      return failSoon(events, error instanceof Error ? error : new Error(String(error)));
-    }
-    if (connection === undefined) return failSoon(events, new ConnectionsExhaustedError());
-    return this.#dispatch(connection, request, events);
+    const { connectTimeoutMs, socketReads } = this.#options;
+    const sending = new Sending({
+      request,
+      events,
+      connectTimeoutMs,
+      socketReads,
+      acquire: () => this.#acquire(request.needsRecentConnection),
+      release: (connection) => this.#release(connection),
+      discard: (connection) => this.#discard(connection),
+    });
+    sending.start();
+    return sending;
   }
 
   /**
@@ -139,7 +122,7 @@
     [...this.#all].forEach((connection) => this.#discard(connection));
   }
 
-  #acquire(needsRecent: boolean): Connection | undefined {
+  #acquire(needsRecent: boolean): Connection {
     const now = performance.now();
     for (;;) {
       const connection = this.#idle.pop();
@@ -150,13 +133,14 @@
       if (isUsable) return connection;
       this.#discard(connection);
     }
-    return this.#all.size < this.#options.maxConnections ? this.#open() : undefined;
+    if (this.#all.size >= this.#options.maxConnections) throw new ConnectionsExhaustedError();
+    return this.#open();
   }
 
   #open(): Connection {
     const connect = buildConnector({ timeout: this.#options.connectTimeoutMs, keepAlive: true });
     const socketState = { wasReset: false };
-    let onSocket: (socket: Socket) => void = () => undefined;
+    let onSocket: (socket: Socket, callback: buildConnector.Callback) => void = () => undefined;
     const client = new Client(`http://${this.#options.address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -166,11 +150,8 @@
       connect: (options, callback) => {
         connect(options, (...result) => {
           const [, socket] = result;
-          socket?.once('error', () => {
-            socketState.wasReset = true;
-          });
-          if (socket) onSocket(socket);
-          callback(...result);
+          if (socket) onSocket(socket, callback);
+          else callback(...result);
         });
       },
     });
@@ -185,10 +166,7 @@
       openedAt: 0,
       idleSince: 0,
     };
-    onSocket = (socket) => {
-      connection.socket = socket;
-      socket.on('readable', () => limitOverhead(connection));
-    };
+    onSocket = (socket, callback) => this.#adopt(connection, socket, callback);
     client.on('connect', () => {
       connection.isOpen = true;
       connection.openedAt = performance.now();
@@ -198,6 +176,22 @@
     return connection;
   }
 
+  /** Has a new socket used, which its request may be written to at once. */
+  #adopt(connection: Connection, socket: Socket, callback: buildConnector.Callback): void {
+    connection.socket = socket;
+    socket.once('error', () => {
+      connection.socketState.wasReset = true;
+    });
+    this.#options.socketReads.afterRead(() => {
+      if (socket.destroyed) {
+        callback(new Error('the connection closed before it was used'), null);
+        return;
+      }
+      socket.on('readable', () => limitOverhead(connection));
+      callback(null, socket);
+    });
+  }
+
   #discard(connection: Connection): void {
     if (!this.#all.delete(connection)) return;
     connection.isOpen = false;
@@ -212,76 +206,4 @@
     connection.idleSince = performance.now();
     this.#idle.push(connection);
   }
-
-  #dispatch(
-    connection: Connection,
-    request: BackendRequest,
-    events: ResponseEvents,
-  ): RequestHandle {
-    let isFinished = false;
-    let wasSent = false;
-    let resume: () => void = () => undefined;
-    let connectTimer: NodeJS.Timeout | undefined;
-    const fail = (error: Error): void => {
-      if (isFinished) return;
-      isFinished = true;
-      clearTimeout(connectTimer);
-      this.#discard(connection);
-      events.failed(error, wasSent);
-    };
-    connection.bodyBytes = 0;
-    connection.bytesReadBefore = connection.socket?.bytesRead ?? 0;
-    connection.onOverhead = () => fail(new Error('the response has no end outside its body'));
-    connectTimer = setTimeout(() => {
-      if (!wasSent) fail(new Error(`no connection within ${this.#options.connectTimeoutMs} ms`));
-    }, this.#options.connectTimeoutMs);
-    connection.client.dispatch(
-      {
-        method: request.method,
-        path: request.path,
-        headers: request.headers,
-        body: request.body.length > 0 ? request.body : null,
-      },
-      {
-        onConnect: () => {
-          wasSent = true;
-          clearTimeout(connectTimer);
-        },
-        onHeaders: (status, headers, resumeBody, statusText) => {
-          resume = resumeBody;
-          if (isFinished || status < FIRST_FINAL_STATUS) return true;
-          const raw = (headers ?? []).map((part) => part.toString('latin1'));
-          if (events.head(status, raw, statusText)) return true;
-          isFinished = true;
-          this.#discard(connection);
-          return false;
-        },
-        onData: (chunk) => {
-          connection.bodyBytes += chunk.length;
-          return isFinished ? false : events.data(chunk);
-        },
-        onComplete: () => {
-          if (isFinished) return;
-          if (connection.socketState.wasReset) {
-            fail(new Error('the connection was reset before the response was complete'));
-            return;
-          }
-          isFinished = true;
-          events.end();
-          // undici detects bytes after the response only when it reads again.
-          setImmediate(() => this.#release(connection));
-        },
-        onError: (error) => fail(error),
-      },
-    );
-    return {
-      resume: () => resume(),
-      abort: () => {
-        if (isFinished) return;
-        isFinished = true;
-        clearTimeout(connectTimer);
-        this.#discard(connection);
-      },
-    };
-  }
 }
--- a/tasks/gateway/_attempts.ts
+++ b/tasks/gateway/_attempts.ts
@@ -1,6 +1,7 @@
-import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
+import type { Clock } from '../../core/clock/mod.ts';
 import { MISDIRECTED_STATUS, nextStep } from '../../core/dispatch/mod.ts';
 import type { AttemptOutcome, ServerView } from '../../core/dispatch/mod.ts';
+import type { SocketReads } from '../../http/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { AdmissionQueue } from './_admissionQueue.ts';
@@ -27,8 +28,8 @@
 /** Options of `Attempts`. */
 export type AttemptsOptions = {
   readonly clock: Clock;
-  /** Returns when the callers' sockets were last read. @default it is not known */
-  readonly socketsReadAt?: () => Milliseconds;
+  /** Tells how long ago the callers' sockets were read. @default they always have just been read */
+  readonly socketReads?: SocketReads;
   readonly log: Log;
   readonly metrics: Metrics;
   readonly access: ServerAccess;
@@ -74,7 +75,6 @@
     request.isAwaitingAdapter = false;
     request.attemptEpoch += 1;
     request.sentAt = now;
-    this.#noteUnread(request);
     request.writingSince = undefined;
     request.isProvenSound = false;
     guard.noteSent(request);
@@ -87,7 +87,10 @@
     table.noteSent(view, head.modelName);
     admission.noteSent(request, view);
     request.attempt = table.connectionsOf(server).send(
-      outboundRequest(request, view, adapterVersions.minOf(head.modelName), now),
+      {
+        ...outboundRequest(request, view, adapterVersions.minOf(head.modelName), now),
+        onWrite: () => this.#noteUnread(request),
+      },
       forwardResponse({
         request,
         clock,
@@ -123,10 +126,10 @@
 
   /** Records for how long the caller's connection had not been read when its request was sent. */
   #noteUnread(request: OpenRequest): void {
-    const { metrics, socketsReadAt = () => -Infinity } = this.#options;
-    const unreadMs = request.sentAt - socketsReadAt();
-    request.unreadMs = Number.isFinite(unreadMs) ? unreadMs : undefined;
-    if (request.unreadMs !== undefined) metrics.record('sent_unread_ms', request.unreadMs);
+    const { clock, metrics, socketReads } = this.#options;
+    if (socketReads === undefined) return;
+    request.unreadMs = clock.now() - socketReads.readAt;
+    metrics.record('sent_unread_ms', request.unreadMs);
   }
 
   /** Retries, refuses or fails a request after an attempt without a complete response. */
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -11,6 +11,7 @@
   Service,
 } from '../../core/serving/mod.ts';
 import type { ServerKeeper } from '../../core/streamOrigins/mod.ts';
+import type { SocketReads } from '../../http/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 import type { WorkSummary } from '../../core/serverRoom/mod.ts';
@@ -43,6 +44,8 @@
   readonly facts: () => Pick<FactKeeping, 'noteOpen' | 'apply'>;
   /** What servers have taken on over all entries. */
   readonly rooms: Pick<ServerRooms, 'applyReport' | 'noteOpen'>;
+  /** Tells how long ago the callers' sockets were read. @default they always have just been read */
+  readonly socketReads?: SocketReads;
   /** Called when a server has been removed. */
   readonly onServerRemoved: (id: string) => void;
 };
@@ -196,7 +199,10 @@
   connectionsOf(server: BackendServer): BackendConnections {
     let connections = this.#connections.get(server.id);
     if (connections === undefined) {
-      connections = new BackendConnections({ address: server.address });
+      connections = new BackendConnections({
+        address: server.address,
+        ...(this.#options.socketReads && { socketReads: this.#options.socketReads }),
+      });
       this.#connections.set(server.id, connections);
     }
     return connections;
--- a/tasks/gateway/gatewayOptions.ts
+++ b/tasks/gateway/gatewayOptions.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { Reach } from '../../core/serverLimits/mod.ts';
 import type { LimitBounds } from '../../core/tokenLimits/mod.ts';
+import type { SocketReads } from '../../http/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
 import type { Dial } from '../ports/mod.ts';
@@ -17,8 +18,8 @@
   /** Must run scheduled calls after reading the sockets that are readable by then. */
   readonly clock: Clock;
   readonly dial: Dial;
-  /** Returns when the callers' sockets were last read. @default it is not known */
-  readonly socketsReadAt?: () => Milliseconds;
+  /** Tells how long ago the callers' sockets were read. @default they always have just been read */
+  readonly socketReads?: SocketReads;
   readonly log: Log;
   readonly metrics: Metrics;
   /** Name of this entry among its peers. @default `entryId` */
