Bound the time for which requests wait to be handled

Cause: requests that had been read waited while connections were accepted, for 32 turns of the event loop, and were then handled for 10 ms per turn. Where a turn takes 100 ms that is more than 3 s, and a request's timeout is not observed before it is handled. The bound was a number of turns, which have no length of their own.

Change: both are bounded by time. A request is postponed for 200 ms at most, and handling gets 100 ms of a turn once the oldest request has waited for 300 ms.

--- a/core/admission/intakeQueue.test.ts
+++ b/core/admission/intakeQueue.test.ts
@@ -4,9 +4,9 @@
 describe('IntakeQueue', () => {
   let queue: IntakeQueue<string>;
 
-  function takeAll(): readonly string[] {
+  function takeAll(now = 0): readonly string[] {
     const taken: string[] = [];
-    for (let next = queue.take(); next !== undefined; next = queue.take()) taken.push(next);
+    for (let next = queue.take(now); next !== undefined; next = queue.take(now)) taken.push(next);
     return taken;
   }
 
@@ -35,18 +35,26 @@
     expect(queue.remove('b')).to.equal(false);
   });
 
-  it('yields nothing while connections are accepted, for a bounded number of turns', () => {
-    queue = new IntakeQueue({ maxPostponedTurns: 3 });
+  it('yields nothing while connections are accepted, for a bounded time', () => {
+    queue = new IntakeQueue({ maxPostponementMs: 30 });
     queue.add('a', 0);
     queue.endTurn(true);
-    const taken = [1, 2, 3, 4].map(() => {
-      queue.add('more', 0);
+    const taken = [10, 20, 30, 40].map((now) => {
+      queue.add('more', now);
       queue.endTurn(true);
-      return takeAll();
+      return takeAll(now);
     });
     expect(taken).to.deep.equal([[], [], ['a'], []]);
     queue.endTurn(false);
-    expect(takeAll()).to.deep.equal(['more']);
+    expect(takeAll(40)).to.deep.equal(['more']);
+  });
+
+  it('is overdue once its oldest request has waited for long', () => {
+    queue = new IntakeQueue({ maxWaitMs: 50 });
+    expect(queue.isOverdue(1000)).to.equal(false);
+    queue.add('a', 0);
+    expect(queue.isOverdue(49)).to.equal(false);
+    expect(queue.isOverdue(50)).to.equal(true);
   });
 
   it('tells how long its oldest request has waited', () => {
--- a/core/admission/intakeQueue.ts
+++ b/core/admission/intakeQueue.ts
@@ -2,8 +2,10 @@
 
 /** Options of `IntakeQueue`. */
 export type IntakeQueueOptions = {
-  /** Longest row of turns in which requests wait while connections are accepted. @default 32 */
-  readonly maxPostponedTurns?: number;
+  /** Longest time that a request waits because connections are accepted. @default 200 */
+  readonly maxPostponementMs?: Milliseconds;
+  /** Wait from which on a request is overdue. @default 300 */
+  readonly maxWaitMs?: Milliseconds;
 };
 
 /** When a request was read. */
@@ -18,19 +20,23 @@
  *
  * While connections are accepted, requests wait: the event loop accepts one connection per turn, and
  * handling requests makes turns long. What waits in the listen queue of the kernel is not known to
- * the process, neither the requests nor that their callers have left.
+ * the process, neither the requests nor that their callers have left. They wait for a bounded time, since
+ * their timeouts are not observed before they are handled.
  */
 export class IntakeQueue<Request> {
   readonly #arrivals = new Map<Request, Arrival>();
 
-  readonly #maxPostponedTurns: number;
+  readonly #maxPostponementMs: Milliseconds;
+
+  readonly #maxWaitMs: Milliseconds;
 
   #turn = 0;
 
-  #postponedTurns = 0;
+  #isAccepting = false;
 
-  constructor({ maxPostponedTurns = 32 }: IntakeQueueOptions = {}) {
-    this.#maxPostponedTurns = maxPostponedTurns;
+  constructor({ maxPostponementMs = 200, maxWaitMs = 300 }: IntakeQueueOptions = {}) {
+    this.#maxPostponementMs = maxPostponementMs;
+    this.#maxWaitMs = maxWaitMs;
   }
 
   /** Number of waiting requests. */
@@ -61,18 +67,22 @@
    */
   endTurn(hasAccepted: boolean): void {
     this.#turn += 1;
-    const isPostponed =
-      hasAccepted && this.size > 0 && this.#postponedTurns < this.#maxPostponedTurns;
-    this.#postponedTurns = isPostponed ? this.#postponedTurns + 1 : 0;
+    this.#isAccepting = hasAccepted;
   }
 
   /** Takes the next request that may be handled after the last ended turn; `undefined` if there is none. */
-  take(): Request | undefined {
+  take(now: Milliseconds): Request | undefined {
     const [next] = this.#arrivals;
-    if (next === undefined || this.#postponedTurns > 0) return undefined;
-    const [request, { turn }] = next;
+    if (next === undefined) return undefined;
+    const [request, { turn, readAt }] = next;
     if (turn >= this.#turn - 1) return undefined;
+    if (this.#isAccepting && now - readAt < this.#maxPostponementMs) return undefined;
     this.#arrivals.delete(request);
     return request;
   }
+
+  /** Whether the oldest request has waited for so long that handling comes before reading more. */
+  isOverdue(now: Milliseconds): boolean {
+    return this.oldestWaitMs(now) >= this.#maxWaitMs;
+  }
 }
--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -38,6 +38,9 @@
 /** Time per turn of the event loop for handling requests; sockets are read after it at the latest. */
 const HANDLING_SLICE_MS: Milliseconds = 10;
 
+/** The same while requests are overdue. */
+const OVERDUE_SLICE_MS: Milliseconds = 100;
+
 type ConnectionRecord = { readonly acceptedAt: Milliseconds; requests: number };
 
 type WaitingRequest = ReadRequest & {
@@ -162,14 +165,16 @@
     return { ...arrival, waitedMs: performance.now() - readAt };
   }
 
-  /** Handles at least one waiting request that may be handled, and more while the time slice lasts. */
+  /** Handles waiting requests, at least one and more while the time slice lasts. */
   #handleWaiting(): void {
-    const until = performance.now() + HANDLING_SLICE_MS;
+    const startedAt = performance.now();
+    let now: Milliseconds;
     do {
-      const next = this.#queue.take();
+      const next = this.#queue.take(performance.now());
       if (next === undefined) return;
       next.stopObserving();
       next.handle(RequestIntake.#arrivalOf(next));
-    } while (performance.now() < until);
+      now = performance.now();
+    } while (now - startedAt < (this.#queue.isOverdue(now) ? OVERDUE_SLICE_MS : HANDLING_SLICE_MS));
   }
 }
