--- a/programs/serving/brokenStream.test.ts
+++ b/programs/serving/brokenStream.test.ts
@@ -72,4 +72,33 @@
     setFault('endless-not-run');
     expect(await call({ id: 'r1', path: '/book/1' })).to.include({ status: 503 });
   });
+
+  // Guards against the text of a failure, or its head, inside a stream that has begun at another server.
+  const failures: readonly BackendServerFault[] = [
+    'error',
+    'shed',
+    'not-run',
+    'foreign',
+    'none',
+    'unframed',
+    'torn',
+    'short',
+    'extra',
+    'reset',
+    'endless-not-run',
+  ];
+  failures.forEach((fault) => {
+    it(`breaks off a stream has nothing but its events passed on if the next one fails (${fault})`, async () => {
+      // Either server may be the first.
+      const [first, second] = world.apps;
+      setFault('torn-stream');
+      const result = call({ id: 'r1', path: '/long/1' });
+      const { fields } = await world.logged(({ event }) => event === 'requestPlaced');
+      const other = fields.server === 'i-app-1' ? second : first;
+      other!.fault = fault;
+      const { status, body, isComplete } = await result;
+      expect(status === 0 || ALL_EVENTS.startsWith(body)).to.equal(true);
+      expect(isComplete && status === 200 && body !== ALL_EVENTS).to.equal(false);
+    });
+  });
 });
