Tell why there were no tokens for a request, and what came of requests for tokens

Adds the field `cause` to the refusals, `token_refusals_total`, `token_leases_total` and `token_lease_ms`.

--- a/core/tokenLimits/mod.ts
+++ b/core/tokenLimits/mod.ts
@@ -6,9 +6,12 @@
 export type { LimitBounds, LimitPlan } from './planLimit.ts';
 export { TokenLimitHolder } from './tokenLimitHolder.ts';
 export type {
+  LeaseResult,
   TokenDecision,
   TokenDemand,
   TokenLimitHolderOptions,
+  TokenRefusal,
+  TokenRefusalCause,
   TokenUse,
 } from './tokenLimitHolder.ts';
 export { TokenLimitIssuer } from './tokenLimitIssuer.ts';
--- a/core/tokenLimits/testing/tokenLimitSimulation.ts
+++ b/core/tokenLimits/testing/tokenLimitSimulation.ts
@@ -206,7 +206,7 @@
     } else if (decision.kind === 'refused') {
       refuse(request, decision.retryAfterMs);
     } else if (now >= until) {
-      refuse(request, entry.holder.refuseWaiting(demand, now));
+      refuse(request, entry.holder.refuseWaiting(demand, now).retryAfterMs);
     } else {
       entry.waiting.push({ request, until });
     }
--- a/core/tokenLimits/tokenLimitHolder.ts
+++ b/core/tokenLimits/tokenLimitHolder.ts
@@ -19,11 +19,25 @@
   readonly isRepeated?: boolean;
 };
 
+/**
+ * Why there were no tokens for a request: the limit is reached, more urgent requests go first, another entry
+ * issues in place of the first one, the issuer has just started, or none has answered in time.
+ */
+export type TokenRefusalCause = 'limit' | 'urgency' | 'stand-in' | 'issuer-starting' | 'no-answer';
+
+/** Refusal of a request. */
+export type TokenRefusal = {
+  readonly kind: 'refused';
+  readonly cause: TokenRefusalCause;
+  readonly retryAfterMs: Milliseconds;
+};
+
 /** Whether a request may be sent, has to wait for the answer of an issuer, or is refused. */
 export type TokenDecision =
-  | { readonly kind: 'admitted' }
-  | { readonly kind: 'wait' }
-  | { readonly kind: 'refused'; readonly retryAfterMs: Milliseconds };
+  { readonly kind: 'admitted' } | { readonly kind: 'wait' } | TokenRefusal;
+
+/** How a request for a lease ended: with all that was wanted, with less, not yet, too late, or without an answer. */
+export type LeaseResult = 'issued' | 'short' | 'issuer-starting' | 'late' | 'no-answer';
 
 /** Use of a tenant's limit at one entry. */
 export type TokenUse = {
@@ -48,6 +62,8 @@
   readonly send: (issuer: string, request: LeaseRequest) => void;
   /** Called when an issuer does not answer. */
   readonly onSilent: (issuer: string, tenant: string) => void;
+  /** Called when a request for a lease has ended, and how long after it was sent. @default does nothing */
+  readonly onLease?: (result: LeaseResult, tookMs: Milliseconds) => void;
 };
 
 /** Time for which a busy entry asks in advance, and its least tokens, as time, below which it asks again. */
@@ -110,6 +126,8 @@
   /** Until when no tokens are expected. */
   shortUntil: Milliseconds;
   wasShortAt: Milliseconds;
+  /** Why no tokens were issued last. */
+  shortageCause: TokenRefusalCause;
   /** When the caller refused next should come back. */
   nextReturnAt: Milliseconds;
   returned: number;
@@ -137,8 +155,9 @@
 function refuse(
   state: TenantState,
   tokens: number,
+  cause: TokenRefusalCause,
   now: Milliseconds,
-): Extract<TokenDecision, { kind: 'refused' }> {
+): TokenRefusal {
   state.refusedTokens += tokens;
   const { perSecond } = state.plan;
   const supply = Math.max(1, state.supply.perSecond(now), perSecond * LEAST_SUPPLY_SHARE);
@@ -147,7 +166,7 @@
   const isFull = state.nextReturnAt > now + MAX_RETRY_AFTER_MS;
   const returnAt = isFull ? first : Math.max(first, state.nextReturnAt);
   state.nextReturnAt = returnAt + (tokens / supply) * MILLISECONDS_IN_SECOND;
-  return { kind: 'refused', retryAfterMs: returnAt - now };
+  return { kind: 'refused', cause, retryAfterMs: returnAt - now };
 }
 
 /** Spends the tokens of tenants at one entry from leases, and asks for further ones by demand. */
@@ -180,7 +199,7 @@
       state.meanTokens += (tokens - state.meanTokens) / 8;
       const isShort = now - state.wasShortAt <= SHORTAGE_MEMORY_MS;
       if (isShort && !state.gate.passes(priority, state.supply.perSecond(now), now)) {
-        return refuse(state, tokens, now);
+        return refuse(state, tokens, 'urgency', now);
       }
     }
     if (spendIfHeld(state, tokens, now)) return { kind: 'admitted' };
@@ -190,7 +209,7 @@
       if (spendIfHeld(state, tokens, now)) return { kind: 'admitted' };
     }
     if (state.pending === undefined || now < state.shortUntil) {
-      return refuse(state, tokens, now);
+      return refuse(state, tokens, state.shortageCause, now);
     }
     state.waitingTokens += tokens;
     return { kind: 'wait' };
@@ -213,8 +232,8 @@
   }
 
   /** Refuses a request that has waited for too long. */
-  refuseWaiting(demand: TokenDemand, now: Milliseconds): Milliseconds {
-    return refuse(this.#stateOf(demand, now), demand.tokens, now).retryAfterMs;
+  refuseWaiting(demand: TokenDemand, now: Milliseconds): TokenRefusal {
+    return refuse(this.#stateOf(demand, now), demand.tokens, 'no-answer', now);
   }
 
   /** Returns the requests to an issuer that it has not answered, to send them again on a new link. */
@@ -226,21 +245,30 @@
 
   /** Applies an answer of an issuer. Returns whether requests that wait should be tried again. */
   applyAnswer(answer: LeaseAnswer, now: Milliseconds): boolean {
+    const { onLease = () => undefined } = this.#options;
     const state = this.#states.get(answer.tenant);
     const pending = state?.pending;
     // Tokens that were asked for long ago have expired.
-    if (state === undefined || pending?.number !== answer.number) return false;
+    if (state === undefined || pending?.number !== answer.number) {
+      onLease('late', ANSWER_TIMEOUT_MS);
+      return false;
+    }
     state.pending = undefined;
     state.waitingTokens = 0;
+    const tookMs = now - pending.sentAt;
     if (!answer.isReady) {
+      onLease('issuer-starting', tookMs);
+      state.shortageCause = 'issuer-starting';
       this.#passOver(pending.issuer, now);
       if (pending.issuer === this.#options.self) state.shortUntil = now + BUSY_SHORT_MS;
       return true;
     }
     state.leases.add(answer.tokens, pending.sentAt + state.plan.leaseMs);
     state.supply.recordRequest(now, answer.tokens);
+    onLease(answer.isShort ? 'short' : 'issued', tookMs);
     if (!answer.isShort) return true;
     state.wasShortAt = now;
+    state.shortageCause = pending.issuer === state.order[0] ? 'limit' : 'stand-in';
     const leastMs = isBusy(state, now) ? BUSY_SHORT_MS : MIN_SHORT_MS;
     state.shortUntil = now + Math.min(MAX_SHORT_MS, Math.max(leastMs, answer.waitMs));
     return true;
@@ -261,6 +289,7 @@
       if (pending !== undefined && now - pending.sentAt > ANSWER_TIMEOUT_MS) {
         state.pending = undefined;
         state.waitingTokens = 0;
+        this.#options.onLease?.('no-answer', now - pending.sentAt);
         this.#passOver(pending.issuer, now);
         this.#options.onSilent(pending.issuer, tenant);
         retried.push(tenant);
@@ -298,6 +327,7 @@
         pending: undefined,
         shortUntil: 0,
         wasShortAt: -Infinity,
+        shortageCause: 'limit',
         nextReturnAt: 0,
         returned: 0,
         refunded: 0,
--- a/logs/_explainOutcome.ts
+++ b/logs/_explainOutcome.ts
@@ -38,6 +38,15 @@
   'not-sent': 'the servers that it was sent to could not be reached',
 };
 
+/** Why there were no tokens for a request although its tenant may have been below its limit. */
+const TOKEN_REFUSAL_CAUSES: Readonly<Record<string, string>> = {
+  urgency: 'more urgent requests of its tenant went first while tokens were short',
+  'stand-in':
+    'the first issuer of the tokens of its tenant did not answer, and others issue a part',
+  'issuer-starting': 'the issuer of the tokens of its tenant had just started',
+  'no-answer': 'no issuer of the tokens of its tenant answered in time',
+};
+
 function fieldMean(lines: readonly LogLine[], field: string): number | undefined {
   const values = lines.map((line) => line[field]).filter((value) => typeof value === 'number');
   if (values.length === 0) return undefined;
@@ -139,12 +148,16 @@
   return REFUSAL_CAUSES[String(end.reason)] ?? `it was refused: ${String(end.reason)}`;
 }
 
+function explainLimited({ tenant, cause }: LogLine): string {
+  const name = tenant === undefined ? '' : ` ${String(tenant)}`;
+  return TOKEN_REFUSAL_CAUSES[String(cause)] ?? `its tenant${name} had reached its token limit`;
+}
+
 const CAUSES: Readonly<Record<string, (end: LogLine, evidence: OutcomeEvidence) => string>> = {
   answered: explainCompleteAnswer,
   refused: explainRefused,
   unauthorized: explainUnauthorized,
-  limited: (end) =>
-    `its tenant${end.tenant === undefined ? '' : ` ${String(end.tenant)}`} had reached its token limit`,
+  limited: explainLimited,
   unknown: (_end, evidence) => explainFailedAttempt(evidence),
   'broken-off': (_end, evidence) => explainFailedAttempt(evidence),
   'caller-gone': explainCallerGone,
--- a/logs/traceRequest.test.ts
+++ b/logs/traceRequest.test.ts
@@ -79,6 +79,9 @@
     expect(ended({ end: 'limited', tenant: 'first' })).to.equal(
       'limited: its tenant first had reached its token limit',
     );
+    expect(ended({ end: 'limited', tenant: 'first', cause: 'no-answer' })).to.equal(
+      'limited: no issuer of the tokens of its tenant answered in time',
+    );
   });
 
   it('tells a configuration that is too old from one that was never confirmed', () => {
--- a/tasks/gateway/_tokenLimitGate.ts
+++ b/tasks/gateway/_tokenLimitGate.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { Deployment, Tenant, TokenLimit } from '../../core/serving/mod.ts';
-import type { LimitBounds, TokenDemand } from '../../core/tokenLimits/mod.ts';
+import type { LimitBounds, TokenDemand, TokenRefusal } from '../../core/tokenLimits/mod.ts';
 import { limitLogRate } from '../../log/mod.ts';
 import type { Log, LogFields } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
@@ -153,7 +153,7 @@
       this.#count(charge, 'spent');
       dispatch(request);
     } else if (decision.kind === 'refused') {
-      this.#refuse(request, charge, decision.retryAfterMs);
+      this.#refuse(request, charge, decision);
     } else if (now >= waitUntil) {
       this.#refuse(request, charge, this.task.refuseWaiting(demand));
     } else {
@@ -174,17 +174,20 @@
       });
   }
 
-  #refuse(request: OpenRequest, charge: Charge, retryAfterMs: Milliseconds): void {
+  #refuse(request: OpenRequest, charge: Charge, { cause, retryAfterMs }: TokenRefusal): void {
     const { tenant, limit, tokens } = charge.demand;
     const use = this.task.uses().find((each) => each.tenant === tenant);
     this.#count(charge, 'refused');
+    this.#options.metrics.count('token_refusals_total', { cause });
     this.#log('tokenLimitReached', {
       tenant,
+      cause,
       limit: limit.perSecond,
       demand: Math.round(use?.demandPerSecond ?? 0),
       refusedTokens: Math.round(use?.refusedTokens ?? 0),
     });
     this.#options.refuse(request, retryAfterMs, {
+      cause,
       limit: limit.perSecond,
       tokens,
       tokensLeft: Math.round(use?.heldTokens ?? 0),
--- a/tasks/gateway/tokenLimitTask.test.ts
+++ b/tasks/gateway/tokenLimitTask.test.ts
@@ -2,6 +2,7 @@
 import type { TokenLimit } from '../../core/serving/mod.ts';
 import type { TokenDecision } from '../../core/tokenLimits/mod.ts';
 import type { LogEventName } from '../../log/mod.ts';
+import { Metrics } from '../../metrics/mod.ts';
 import { encodeMessagePack } from '../_decodeChecked.ts';
 import { decodePeerMessage } from './_peerMessages.ts';
 import { FakeNetwork } from './testing/fakeNetwork.ts';
@@ -57,6 +58,7 @@
         clock: network.clock,
         dial: network.dialFrom(self),
         log: (event) => events.push(event),
+        metrics: new Metrics(),
         onAnswer: () => {
           const { waiting } = node;
           node.waiting = 0;
@@ -162,6 +164,7 @@
         return { send: () => undefined, close: () => undefined };
       },
       log: () => undefined,
+      metrics: new Metrics(),
       onAnswer: () => undefined,
     });
     task.start();
--- a/tasks/gateway/tokenLimitTask.ts
+++ b/tasks/gateway/tokenLimitTask.ts
@@ -10,10 +10,12 @@
   LimitBounds,
   TokenDecision,
   TokenDemand,
+  TokenRefusal,
   TokenUse,
 } from '../../core/tokenLimits/mod.ts';
 import { limitLogRate } from '../../log/mod.ts';
 import type { Log } from '../../log/mod.ts';
+import type { Metrics } from '../../metrics/mod.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
 import type { Dial } from '../ports/mod.ts';
 import { repeatSteps } from '../_repeatSteps.ts';
@@ -38,6 +40,7 @@
   readonly clock: Clock;
   readonly dial: Dial;
   readonly log: Log;
+  readonly metrics: Metrics;
   /** Called when requests of a tenant that wait should be tried again. */
   readonly onAnswer: (tenant: string) => void;
 };
@@ -68,7 +71,7 @@
   #cancelTick: Cancellation | undefined;
 
   constructor(options: TokenLimitTaskOptions) {
-    const { self, peers, bounds, clock, dial, log, limitOf } = options;
+    const { self, peers, bounds, clock, dial, log, metrics, limitOf } = options;
     const rateLimitedLog = limitLogRate(log, clock, LOG_INTERVAL_MS);
     this.#options = options;
     this.#holder = new TokenLimitHolder({
@@ -81,6 +84,10 @@
         this.#close(issuer);
         rateLimitedLog('tokenIssuerSilent', { address: issuer, tenant });
       },
+      onLease: (result, tookMs) => {
+        metrics.count('token_leases_total', { result });
+        metrics.record('token_lease_ms', tookMs);
+      },
     });
     this.#issuer = new TokenLimitIssuer({
       self,
@@ -142,8 +149,8 @@
     this.#holder.giveBack(tenant, tokens, spentAt, this.#options.clock.now());
   }
 
-  /** Refuses a request that has waited for too long. Returns when its caller should come back. */
-  refuseWaiting(demand: TokenDemand): Milliseconds {
+  /** Refuses a request that has waited for too long. */
+  refuseWaiting(demand: TokenDemand): TokenRefusal {
     return this.#holder.refuseWaiting(demand, this.#options.clock.now());
   }
 
