Accept late answers of the issuers of tokens, and wait for them

Cause: timing taken for failure. An entry gave an issuer 150 ms, as long as one or two turns of the event loop take on a small host. After that it dropped the answer with its tokens, closed the link, so that the next request had to wait for a new one as well, and asked an entry that stands in and issues too little for one request. Tenants whose issuers are on large hosts were served.

Late answers now count for 1 s, since a lease ends by the time at which it was asked for. A request waits for them although an entry that stands in has too few tokens. The patience follows an issuer's answers, from 150 to 800 ms, and its link stays open. All requests that waited are covered by the next lease; before, each took one round trip.

--- a/core/tokenLimits/testing/tokenLimitSimulation.ts
+++ b/core/tokenLimits/testing/tokenLimitSimulation.ts
@@ -40,6 +40,8 @@
   }[];
   /** Share of the admitted requests that do not run, and that give their tokens back after a time. @default none */
   readonly notRun?: { readonly share: number; readonly afterMs: Milliseconds };
+  /** Returns how long a turn of an entry's event loop takes: it handles what arrives at the end of one. @default 0 */
+  readonly turnMsOf?: (entry: number) => Milliseconds;
   /** Whether refused callers come back once, when `Retry-After` says. @default false */
   readonly callersReturn?: boolean;
   /** Share of the messages that are lost. @default 0 */
@@ -82,7 +84,7 @@
 
 const RESTART_MS: Milliseconds = 700;
 
-const MAX_WAIT_MS: Milliseconds = 400;
+const MAX_WAIT_MS: Milliseconds = 1000;
 
 /** Bytes of a request and an answer with their frames. */
 const REQUEST_BYTES = 70;
@@ -113,6 +115,7 @@
 ): TokenLimitSimulationResult {
   const { entries: entryCount, tenants, bounds, durationMs, partAt = () => 0 } = options;
   const { ends = [], freezes = [], notRun, callersReturn = false, lossShare = 0 } = options;
+  const { turnMsOf = () => 0 } = options;
   const generator = xoroshiro128plus(options.seed);
   const random = (): number => uniformFloat64(generator);
   const between = (low: number, high: number): number => low + random() * (high - low);
@@ -135,6 +138,12 @@
     else run();
   }
 
+  /** Returns the time until an entry handles what arrives now. */
+  function waitForTurn({ index }: Entry): Milliseconds {
+    const turnMs = turnMsOf(index);
+    return turnMs === 0 ? 0 : turnMs - (clock.now() % turnMs);
+  }
+
   function deliver(from: Entry, to: Entry, bytes: number, run: () => void): void {
     if (from === to) {
       run();
@@ -144,7 +153,9 @@
     bytesByEntry[to.index]! += bytes;
     if (random() < lossShare) return;
     clock.schedule(between(0.5, 4), () => {
-      if (reaches(from, to)) runAt(to, run);
+      if (!reaches(from, to)) return;
+      const { incarnation } = to;
+      clock.schedule(waitForTurn(to), () => runAt(to, run, incarnation));
     });
   }
 
@@ -227,7 +238,10 @@
       retryAfterMs: undefined,
     };
     requests.push(request);
-    runAt(entry, () => decide(entry, request, clock.now() + MAX_WAIT_MS));
+    const { incarnation } = entry;
+    clock.schedule(waitForTurn(entry), () =>
+      runAt(entry, () => decide(entry, request, clock.now() + MAX_WAIT_MS), incarnation),
+    );
   }
 
   /* eslint-enable @typescript-eslint/no-use-before-define */
@@ -288,7 +302,8 @@
   function tick(): void {
     const now = clock.now();
     entries.forEach((entry) => {
-      if (!isUp(entry) || entry.frozenUntil > now) return;
+      const isInTurn = waitForTurn(entry) > TICK_MS;
+      if (!isUp(entry) || entry.frozenUntil > now || isInTurn) return;
       entry.issuer.tick(now);
       entry.holder.tick(now).forEach((tenant) => retryWaiting(entry, tenant));
     });
--- a/core/tokenLimits/tokenLimitHolder.ts
+++ b/core/tokenLimits/tokenLimitHolder.ts
@@ -36,7 +36,10 @@
 export type TokenDecision =
   { readonly kind: 'admitted' } | { readonly kind: 'wait' } | TokenRefusal;
 
-/** How a request for a lease ended: with all that was wanted, with less, not yet, too late, or without an answer. */
+/**
+ * How a request for a lease ended: with all that was wanted, with less, not yet, after its issuer was passed
+ * over, or without an answer.
+ */
 export type LeaseResult = 'issued' | 'short' | 'issuer-starting' | 'late' | 'no-answer';
 
 /** Use of a tenant's limit at one entry. */
@@ -73,8 +76,16 @@
 /** Requests within `ADVANCE_MS` from which on an entry asks in advance. */
 const BUSY_REQUESTS = 4;
 
-/** Time within which an issuer answers. */
-const ANSWER_TIMEOUT_MS: Milliseconds = 150;
+/** Shortest and longest time after which an issuer that has not answered is passed over. */
+const MIN_PATIENCE_MS: Milliseconds = 150;
+const MAX_PATIENCE_MS: Milliseconds = 800;
+
+/** Patience relative to the longest of the last answers, which counts less with each further answer. */
+const PATIENCE_FACTOR = 2;
+const ANSWER_TIME_DECAY = 0.9;
+
+/** Time within which an issuer that was passed over may still answer. */
+const LATE_ANSWER_MAX_AGE_MS: Milliseconds = 1000;
 
 /** Time for which an issuer is passed over that did not answer, or has just started. */
 const PASSED_OVER_MS: Milliseconds = 1000;
@@ -122,7 +133,11 @@
   meanTokens: number;
   /** Tokens of the requests that wait for an answer. */
   waitingTokens: number;
+  /** Tokens of the requests that waited for the last answer and have not been tried again yet. */
+  retriedTokens: number;
   pending: Pending | undefined;
+  /** Requests whose issuers were passed over, by number. */
+  readonly overdue: Map<number, Pending>;
   /** Until when no tokens are expected. */
   shortUntil: Milliseconds;
   wasShortAt: Milliseconds;
@@ -144,6 +159,13 @@
   return advance >= BUSY_REQUESTS * Math.max(1, state.meanTokens);
 }
 
+/** Ends the wait for the answer to a request; whatever waited is tried again. */
+function endWait(state: TenantState): void {
+  state.pending = undefined;
+  state.retriedTokens = state.waitingTokens;
+  state.waitingTokens = 0;
+}
+
 function spendIfHeld(state: TenantState, tokens: number, now: Milliseconds): boolean {
   if (state.leases.tokens(now) < tokens) return false;
   state.leases.spend(tokens, now);
@@ -178,6 +200,9 @@
   /** Until when issuers are passed over. */
   readonly #passedOverUntil = new Map<string, Milliseconds>();
 
+  /** Longest time that each issuer took for one of its last answers. */
+  readonly #answerMs = new Map<string, Milliseconds>();
+
   #nextNumber = 0;
 
   constructor(options: TokenLimitHolderOptions) {
@@ -194,7 +219,9 @@
     const { tokens, priority, isRepeated = false } = demand;
     const state = this.#stateOf(demand, now);
     state.usedAt = now;
-    if (!isRepeated) {
+    if (isRepeated) {
+      state.retriedTokens = Math.max(0, state.retriedTokens - tokens);
+    } else {
       state.gate.record(priority, tokens, now);
       state.meanTokens += (tokens - state.meanTokens) / 8;
       const isShort = now - state.wasShortAt <= SHORTAGE_MEMORY_MS;
@@ -208,7 +235,9 @@
       // An issuer in this process has answered by now.
       if (spendIfHeld(state, tokens, now)) return { kind: 'admitted' };
     }
-    if (state.pending === undefined || now < state.shortUntil) {
+    // The issuer that stands in says nothing about the tokens that the first one may still issue.
+    const mayGetLate = state.overdue.size > 0 && state.shortageCause !== 'limit';
+    if (!mayGetLate && (state.pending === undefined || now < state.shortUntil)) {
       return refuse(state, tokens, state.shortageCause, now);
     }
     state.waitingTokens += tokens;
@@ -238,39 +267,40 @@
 
   /** Returns the requests to an issuer that it has not answered, to send them again on a new link. */
   unansweredBy(issuer: string): readonly LeaseRequest[] {
-    return [...this.#states.values()].flatMap(({ pending }) =>
-      pending?.issuer === issuer ? [pending] : [],
-    );
+    return [...this.#states.values()]
+      .flatMap(({ pending, overdue }) => [...overdue.values(), ...(pending ? [pending] : [])])
+      .filter((request) => request.issuer === issuer);
   }
 
   /** Applies an answer of an issuer. Returns whether requests that wait should be tried again. */
   applyAnswer(answer: LeaseAnswer, now: Milliseconds): boolean {
     const { onLease = () => undefined } = this.#options;
-    const state = this.#states.get(answer.tenant);
-    const pending = state?.pending;
+    const { number, tenant, isReady, tokens, isShort, waitMs } = answer;
+    const state = this.#states.get(tenant);
+    const isPending = state?.pending?.number === number;
+    const request = isPending ? state.pending : state?.overdue.get(number);
     // Tokens that were asked for long ago have expired.
-    if (state === undefined || pending?.number !== answer.number) {
-      onLease('late', ANSWER_TIMEOUT_MS);
-      return false;
-    }
-    state.pending = undefined;
-    state.waitingTokens = 0;
-    const tookMs = now - pending.sentAt;
-    if (!answer.isReady) {
+    if (state === undefined || request === undefined) return false;
+    const tookMs = now - request.sentAt;
+    this.#noteAnswer(request.issuer, tookMs);
+    if (isPending) endWait(state);
+    else state.overdue.delete(number);
+    if (!isReady) {
       onLease('issuer-starting', tookMs);
       state.shortageCause = 'issuer-starting';
-      this.#passOver(pending.issuer, now);
-      if (pending.issuer === this.#options.self) state.shortUntil = now + BUSY_SHORT_MS;
+      this.#passOver(request.issuer, now);
+      if (request.issuer === this.#options.self) state.shortUntil = now + BUSY_SHORT_MS;
       return true;
     }
-    state.leases.add(answer.tokens, pending.sentAt + state.plan.leaseMs);
-    state.supply.recordRequest(now, answer.tokens);
-    onLease(answer.isShort ? 'short' : 'issued', tookMs);
-    if (!answer.isShort) return true;
+    state.leases.add(tokens, request.sentAt + state.plan.leaseMs);
+    state.supply.recordRequest(now, tokens);
+    if (!isPending) onLease('late', tookMs);
+    else onLease(isShort ? 'short' : 'issued', tookMs);
+    if (!isShort) return true;
     state.wasShortAt = now;
-    state.shortageCause = pending.issuer === state.order[0] ? 'limit' : 'stand-in';
+    state.shortageCause = request.issuer === state.order[0] ? 'limit' : 'stand-in';
     const leastMs = isBusy(state, now) ? BUSY_SHORT_MS : MIN_SHORT_MS;
-    state.shortUntil = now + Math.min(MAX_SHORT_MS, Math.max(leastMs, answer.waitMs));
+    state.shortUntil = now + Math.min(MAX_SHORT_MS, Math.max(leastMs, waitMs));
     return true;
   }
 
@@ -285,15 +315,23 @@
     });
     const retried: string[] = [];
     this.#states.forEach((state, tenant) => {
-      const { pending } = state;
-      if (pending !== undefined && now - pending.sentAt > ANSWER_TIMEOUT_MS) {
-        state.pending = undefined;
-        state.waitingTokens = 0;
-        this.#options.onLease?.('no-answer', now - pending.sentAt);
+      const { pending, overdue } = state;
+      const isPassedOver =
+        pending !== undefined && now - pending.sentAt > this.#patienceWith(pending.issuer);
+      if (isPassedOver) {
+        endWait(state);
+        overdue.set(pending.number, pending);
         this.#passOver(pending.issuer, now);
         this.#options.onSilent(pending.issuer, tenant);
-        retried.push(tenant);
       }
+      const lost = [...overdue.values()].filter(
+        ({ sentAt }) => now - sentAt > LATE_ANSWER_MAX_AGE_MS,
+      );
+      lost.forEach(({ number, sentAt }) => {
+        overdue.delete(number);
+        this.#options.onLease?.('no-answer', now - sentAt);
+      });
+      if (isPassedOver || lost.length > 0) retried.push(tenant);
       if (now - state.usedAt > MAX_IDLE_MS) this.#states.delete(tenant);
       else this.#askInAdvance(tenant, state, now);
     });
@@ -324,7 +362,9 @@
         askedAt: -Infinity,
         meanTokens: 0,
         waitingTokens: 0,
+        retriedTokens: 0,
         pending: undefined,
+        overdue: new Map(),
         shortUntil: 0,
         wasShortAt: -Infinity,
         shortageCause: 'limit',
@@ -364,12 +404,14 @@
       ? (state.gate.demand(now) * ADVANCE_MS) / MILLISECONDS_IN_SECOND
       : 0;
     const missing = Math.max(0, needed - held);
+    const waiting = state.waitingTokens + state.retriedTokens;
+    state.retriedTokens = 0;
     this.#nextNumber += 1;
     const request: LeaseRequest = {
       number: this.#nextNumber,
       tenant,
       needed: Math.ceil(missing),
-      wanted: Math.ceil(Math.max(missing, state.waitingTokens + advance - held)),
+      wanted: Math.ceil(Math.max(missing, needed + waiting + advance - held)),
       weight: Math.ceil(state.gate.weight(now)),
       returned: Math.floor(state.returned + state.leases.takeExpired(now)),
       refunded: Math.floor(state.refunded),
@@ -382,6 +424,19 @@
     this.#options.send(issuer, request);
   }
 
+  /** Records an answer of an issuer, which is therefore not passed over any more. */
+  #noteAnswer(issuer: string, tookMs: Milliseconds): void {
+    const before = this.#answerMs.get(issuer) ?? 0;
+    this.#answerMs.set(issuer, Math.max(tookMs, before * ANSWER_TIME_DECAY));
+    this.#passedOverUntil.delete(issuer);
+  }
+
+  /** Returns the time after which an issuer that has not answered is passed over. */
+  #patienceWith(issuer: string): Milliseconds {
+    const expectedMs = (this.#answerMs.get(issuer) ?? 0) * PATIENCE_FACTOR;
+    return Math.min(MAX_PATIENCE_MS, Math.max(MIN_PATIENCE_MS, expectedMs));
+  }
+
   #passOver(issuer: string, now: Milliseconds): void {
     if (issuer !== this.#options.self) {
       this.#passedOverUntil.set(issuer, now + PASSED_OVER_MS);
--- a/core/tokenLimits/tokenLimitSimulation.test.ts
+++ b/core/tokenLimits/tokenLimitSimulation.test.ts
@@ -254,6 +254,53 @@
     expect(admitted / settled.length).to.be.at.least(LEAST_USE);
   });
 
+  // Entries that answered later than others expected were passed over, and their tokens dropped.
+  describe('with event loops that take long turns', () => {
+    const slow: Readonly<Record<string, (entry: number) => boolean>> = {
+      'all entries': () => true,
+      'every other entry': (entry) => entry % 2 === 0,
+    };
+    const tenants = [30_000, 60_000].map((perSecond) => ({
+      ...TENANT,
+      name: `of-${perSecond}`,
+      limits: [{ from: 0, limit: { perSecond, burst: perSecond } }],
+      demandAt: () => 0.6 * perSecond,
+    }));
+
+    Object.entries(slow).forEach(([name, isSlow]) => {
+      [100, 200, 300].forEach((turnMs) => {
+        it(`of ${turnMs} ms at ${name}, refuse almost nothing of tenants below their limits`, () => {
+          const requests = [1, 2, 3, 4].flatMap(
+            (seed) =>
+              simulateTokenLimits({
+                ...DEFAULTS,
+                seed,
+                tenants,
+                turnMsOf: (entry) => (isSlow(entry) ? turnMs : 0),
+              }).requests,
+          );
+          tenants.forEach((tenant) => {
+            const settled = requests.filter(
+              (request) =>
+                request.tenant === tenant.name && request.sentAt >= 4000 && request.sentAt < 28_000,
+            );
+            const admitted = settled.filter(({ isAdmitted }) => isAdmitted).length;
+            expect(admitted / settled.length).to.be.at.least(LEAST_USE);
+          });
+        });
+      });
+    });
+
+    it('of 200 ms at every other entry, keep a limit in any window', () => {
+      const { requests } = simulateTokenLimits({
+        ...DEFAULTS,
+        seed: 1,
+        turnMsOf: (entry) => (slow['every other entry']!(entry) ? 200 : 0),
+      });
+      expect(worstWindow(requests)).to.be.at.most(windowAllowance(LIMIT, BOUNDS));
+    });
+  });
+
   it('leave a tenant within its limit alone beside one that sends eight times its share', () => {
     const { requests } = simulateTokenLimits({
       ...DEFAULTS,
--- a/tasks/gateway/_tokenLimitGate.ts
+++ b/tasks/gateway/_tokenLimitGate.ts
@@ -35,7 +35,7 @@
 };
 
 /** Longest time for which a request waits for the answer of an issuer. */
-const MAX_WAIT_MS: Milliseconds = 400;
+const MAX_WAIT_MS: Milliseconds = 1000;
 
 /** Interval of the log of tenants above their limits. */
 const LOG_INTERVAL_MS: Milliseconds = 5000;
--- a/tasks/gateway/testing/fakeNetwork.ts
+++ b/tasks/gateway/testing/fakeNetwork.ts
@@ -11,6 +11,9 @@
 
   readonly partitioned = new Set<string>();
 
+  /** Time that messages wait at processes until they are handled, as with long turns of an event loop. @default 0 */
+  readonly handlingDelays = new Map<string, Milliseconds>();
+
   /** Names the group of a process while groups are partitioned from each other. */
   groupOf: ((address: string) => string) | undefined;
 
@@ -38,7 +41,7 @@
         if (this.isStopped(from)) return;
         const pair = `${from} ${to}`;
         this.sentBytes.set(pair, (this.sentBytes.get(pair) ?? 0) + bytes);
-        this.clock.schedule(1, () => {
+        this.clock.schedule(1 + (this.handlingDelays.get(to) ?? 0), () => {
           if (!this.#isApart(own, address)) this.whenRunning(to, run);
         });
       };
--- a/tasks/gateway/tokenLimitTask.test.ts
+++ b/tasks/gateway/tokenLimitTask.test.ts
@@ -125,6 +125,20 @@
     expect(nodes.flatMap(({ events }) => events)).to.include('tokenIssuerSilent');
   });
 
+  // Answers that came late were dropped, and the links that brought them were closed.
+  it('admits requests below the limit at entries that handle messages late', () => {
+    const names = ['a', 'b', 'c', 'd'];
+    const nodes = startNodes(names);
+    names.forEach((name) => network.handlingDelays.set(name, 120));
+    const rounds = 40;
+    for (let round = 0; round < rounds; round += 1) {
+      nodes.forEach((node) => take(node));
+      network.run(500);
+    }
+    const admitted = nodes.flatMap(({ admittedAt }) => admittedAt).length;
+    expect(admitted / (rounds * names.length)).to.be.at.least(0.97);
+  });
+
   it('refuses at once above the limit and tells callers different times', () => {
     const [node] = startNodes(['a']);
     const delays: number[] = [];
--- a/tasks/gateway/tokenLimitTask.ts
+++ b/tasks/gateway/tokenLimitTask.ts
@@ -52,6 +52,9 @@
 /** Time without a request after which the link to an issuer is closed. */
 const LINK_IDLE_MS: Milliseconds = 20_000;
 
+/** Time without a message from an issuer that does not answer after which its link is opened anew. */
+const LINK_SILENCE_MS: Milliseconds = 1500;
+
 /** Interval of the log of silent issuers. */
 const LOG_INTERVAL_MS: Milliseconds = 5000;
 
@@ -68,6 +71,9 @@
   /** When each issuer was last sent a request. */
   readonly #usedAt = new Map<string, Milliseconds>();
 
+  /** When each issuer was last heard of, or its link opened. */
+  readonly #heardAt = new Map<string, Milliseconds>();
+
   #cancelTick: Cancellation | undefined;
 
   constructor(options: TokenLimitTaskOptions) {
@@ -80,8 +86,7 @@
       peers: () => peers(HEARD_MAX_AGE_MS),
       send: (issuer, request) => this.#send(issuer, request),
       onSilent: (issuer, tenant) => {
-        // The next request opens a new link.
-        this.#close(issuer);
+        this.#closeSilent(issuer);
         rateLimitedLog('tokenIssuerSilent', { address: issuer, tenant });
       },
       onLease: (result, tookMs) => {
@@ -102,10 +107,12 @@
       dial,
       // Issuers say nothing unless they are asked; the holder notices a missing answer.
       silenceMs: Infinity,
-      onOpen: (address) =>
+      onOpen: (address) => {
+        this.#heardAt.set(address, clock.now());
         this.#holder
           .unansweredBy(address)
-          .forEach((request) => this.#links.send(address, this.#encode(request))),
+          .forEach((request) => this.#links.send(address, this.#encode(request)));
+      },
       onMessage: (address, bytes) => this.#receive(address, bytes),
       onLost: (address, reason) => log('peerLost', { address, reason }),
     });
@@ -173,6 +180,12 @@
     );
   }
 
+  /** Closes the link to an issuer that has been silent for long; the next request opens a new one. */
+  #closeSilent(issuer: string): void {
+    const heardAt = this.#heardAt.get(issuer) ?? -Infinity;
+    if (this.#options.clock.now() - heardAt > LINK_SILENCE_MS) this.#close(issuer);
+  }
+
   #tick(): void {
     const now = this.#options.clock.now();
     this.#issuer.tick(now);
@@ -185,6 +198,7 @@
 
   #close(address: string): void {
     this.#usedAt.delete(address);
+    this.#heardAt.delete(address);
     this.#links.close(address);
   }
 
@@ -197,6 +211,7 @@
       return;
     }
     this.#usedAt.set(issuer, now);
+    if (!this.#heardAt.has(issuer)) this.#heardAt.set(issuer, now);
     this.#links.open(issuer);
     if (this.#links.isOpen(issuer)) this.#links.send(issuer, this.#encode(request));
   }
@@ -216,6 +231,7 @@
       this.#options.log('messageUnreadable', { from: address, bytes: bytes.length });
       return;
     }
+    this.#heardAt.set(address, this.#options.clock.now());
     const [number, tenant, isReady, tokens, isShort, waitMs] = message.lease;
     const answer = { number, tenant, isReady, tokens, isShort, waitMs };
     if (this.#holder.applyAnswer(answer, this.#options.clock.now())) this.#options.onAnswer(tenant);
