Let entries on larger hosts issue the tokens of tenants

Entries now tell each other their share of a processor, and those with less than half of the largest come last in the order of issuers. Unknown shares, as of older builds, count as enough: the order is then the former one.

--- a/core/tokenLimits/testing/tokenLimitSimulation.ts
+++ b/core/tokenLimits/testing/tokenLimitSimulation.ts
@@ -42,6 +42,8 @@
   readonly notRun?: { readonly share: number; readonly afterMs: Milliseconds };
   /** Returns how long a turn of an entry's event loop takes: it handles what arrives at the end of one. @default 0 */
   readonly turnMsOf?: (entry: number) => Milliseconds;
+  /** Returns the capacity of an entry's host. @default 0, unknown */
+  readonly capacityOf?: (entry: number) => number;
   /** Whether refused callers come back once, when `Retry-After` says. @default false */
   readonly callersReturn?: boolean;
   /** Share of the messages that are lost. @default 0 */
@@ -115,7 +117,7 @@
 ): TokenLimitSimulationResult {
   const { entries: entryCount, tenants, bounds, durationMs, partAt = () => 0 } = options;
   const { ends = [], freezes = [], notRun, callersReturn = false, lossShare = 0 } = options;
-  const { turnMsOf = () => 0 } = options;
+  const { turnMsOf = () => 0, capacityOf = () => 0 } = options;
   const generator = xoroshiro128plus(options.seed);
   const random = (): number => uniformFloat64(generator);
   const between = (low: number, high: number): number => low + random() * (high - low);
@@ -268,6 +270,7 @@
       self: entry.name,
       bounds,
       peers: () => entry.view.heard,
+      capacityOf: (name) => capacityOf(byName.get(name)!.index),
       send: (issuer, request) => ask(entry, issuer, request),
       onSilent: () => undefined,
     });
@@ -277,6 +280,7 @@
       bounds,
       limitOf: (tenant) => limitFor(entry, tenant),
       fleet: () => entry.view,
+      capacityOf: (name) => capacityOf(byName.get(name)!.index),
       minKnown: Math.min(entryCount, 4),
     });
   }
--- a/core/tokenLimits/tokenLimitHolder.ts
+++ b/core/tokenLimits/tokenLimitHolder.ts
@@ -1,8 +1,8 @@
 import type { Milliseconds } from '../clock/mod.ts';
 import { DemandMeter } from '../limits/mod.ts';
-import { rendezvousOrder } from '../placement/mod.ts';
 import type { TokenLimit } from '../serving/mod.ts';
 import { HeldLeases } from './_heldLeases.ts';
+import { orderIssuers } from './_orderIssuers.ts';
 import { UrgencyGate } from './_urgencyGate.ts';
 import type { LeaseAnswer, LeaseRequest } from './leaseMessages.ts';
 import { planLimit } from './planLimit.ts';
@@ -61,6 +61,8 @@
   readonly bounds: LimitBounds;
   /** Returns the names of the other entries that have been heard of lately. */
   readonly peers: () => readonly string[];
+  /** Returns the capacity of an entry; 0 if it is unknown. @default always unknown */
+  readonly capacityOf?: ((name: string) => number) | undefined;
   /** Sends a request to an issuer, which may be this entry; that one may answer before the call returns. */
   readonly send: (issuer: string, request: LeaseRequest) => void;
   /** Called when an issuer does not answer. */
@@ -444,9 +446,10 @@
   }
 
   #issuerOf(tenant: string, state: TenantState, now: Milliseconds): string {
-    const { self, peers } = this.#options;
+    const { self, peers, capacityOf = () => 0 } = this.#options;
     if (now - state.orderedAt > ORDER_MAX_AGE_MS) {
-      state.order = rendezvousOrder(tenant, [self, ...peers()]).slice(0, MAX_PASSED_OVER);
+      const order = orderIssuers(tenant, [self, ...peers()], capacityOf);
+      state.order = order.slice(0, MAX_PASSED_OVER);
       state.orderedAt = now;
     }
     return state.order.find((name) => !this.#passedOverUntil.has(name)) ?? self;
--- a/core/tokenLimits/tokenLimitIssuer.ts
+++ b/core/tokenLimits/tokenLimitIssuer.ts
@@ -1,8 +1,8 @@
 import type { Milliseconds } from '../clock/mod.ts';
-import { rendezvousOrder } from '../placement/mod.ts';
 import type { TokenLimit } from '../serving/mod.ts';
 import { FleetShare } from './_fleetShare.ts';
 import type { FleetView } from './_fleetShare.ts';
+import { orderIssuers } from './_orderIssuers.ts';
 import { TenantLedger } from './_tenantLedger.ts';
 import type { LeaseAnswer, LeaseRequest } from './leaseMessages.ts';
 import { planLimit } from './planLimit.ts';
@@ -17,6 +17,8 @@
   readonly limitOf: (tenant: string) => TokenLimit | undefined;
   readonly bounds: LimitBounds;
   readonly fleet: () => FleetView;
+  /** Returns the capacity of an entry; 0 if it is unknown. @default always unknown */
+  readonly capacityOf?: ((name: string) => number) | undefined;
   /** Number of entries assumed until more are known; 1 for an entry without peers. @default 1 */
   readonly minKnown?: number;
 };
@@ -127,11 +129,13 @@
   #orderOf(tenant: string, fleet: FleetView, now: Milliseconds): Order {
     const kept = this.#orders.get(tenant);
     if (kept !== undefined && now - kept.at <= ORDER_MAX_AGE_MS) return kept;
-    const { self } = this.#options;
+    const { self, capacityOf = () => 0 } = this.#options;
+    const isFirstOf = (others: readonly string[]): boolean =>
+      orderIssuers(tenant, [self, ...others], capacityOf)[0] === self;
     const order = {
       at: now,
-      isFirstHeard: rendezvousOrder(tenant, [self, ...fleet.heard])[0] === self,
-      isFirstKnown: rendezvousOrder(tenant, [self, ...fleet.known])[0] === self,
+      isFirstHeard: isFirstOf(fleet.heard),
+      isFirstKnown: isFirstOf(fleet.known),
     };
     this.#orders.set(tenant, order);
     return order;
--- a/core/tokenLimits/tokenLimitSimulation.test.ts
+++ b/core/tokenLimits/tokenLimitSimulation.test.ts
@@ -291,6 +291,25 @@
       });
     });
 
+    it('of 1200 ms at entries on small hosts, refuse almost nothing at the others', () => {
+      const isSmall = (entry: number): boolean => entry % 2 === 0;
+      const requests = [1, 2, 3, 4].flatMap(
+        (seed) =>
+          simulateTokenLimits({
+            ...DEFAULTS,
+            seed,
+            tenants,
+            turnMsOf: (entry) => (isSmall(entry) ? 1200 : 0),
+            capacityOf: (entry) => (isSmall(entry) ? 18 : 68),
+          }).requests,
+      );
+      const settled = requests.filter(
+        ({ entry, sentAt }) => !isSmall(entry) && sentAt >= 4000 && sentAt < 28_000,
+      );
+      const admitted = settled.filter(({ isAdmitted }) => isAdmitted).length;
+      expect(admitted / settled.length).to.be.at.least(LEAST_USE);
+    });
+
     it('of 200 ms at every other entry, keep a limit in any window', () => {
       const { requests } = simulateTokenLimits({
         ...DEFAULTS,
--- a/programs/serving/_startPeers.ts
+++ b/programs/serving/_startPeers.ts
@@ -18,6 +18,8 @@
   readonly maxKnownEntries: () => number | undefined;
   /** Returns the addresses of the other live entries, or those of which there was a sign within a time. */
   readonly names: (maxAgeMs?: Milliseconds) => readonly string[];
+  /** Returns the capacity of an entry, in hundredths of a processor core; 0 if it is unknown. */
+  readonly capacityOf: (name: string) => number;
   /** How many of the known entries are in touch with this one, itself included. */
   readonly reach: () => Reach;
   /** Sends changes of the shared state to the other entries. */
@@ -43,6 +45,7 @@
 export const NO_PEERS: Peers = {
   maxKnownEntries: () => undefined,
   names: () => [],
+  capacityOf: () => 0,
   reach: () => ({ known: 1, reachable: 1 }),
   pushChanges: () => undefined,
   lagsMs: () => [],
@@ -58,6 +61,7 @@
   const peers = new PeerTask({
     ...rest,
     address: peerAddress,
+    cpuShare: settings.cpuShare,
     seeds,
     clock: realClock,
     dial: dialWebSocket,
@@ -69,6 +73,7 @@
     maxKnownEntries: () => peers.maxKnownEntries,
     names: (maxAgeMs) =>
       maxAgeMs === undefined ? peers.members : peers.membersSeenWithin(maxAgeMs),
+    capacityOf: (name) => peers.capacityOf(name),
     reach: () => peers.reach,
     pushChanges: () => peers.pushChanges(),
     lagsMs: () => peers.lagsMs,
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -80,6 +80,7 @@
     maxKnownEntries: () => peers.maxKnownEntries(),
     peerName: settings.peerAddress,
     peerNames: (maxAgeMs) => peers.names(maxAgeMs),
+    capacityOf: (name) => peers.capacityOf(name),
     tokenLimitBounds: settings.tokenLimitBounds,
     minKnownEntries: settings.peerAddress === undefined ? 1 : settings.seeds.length + 1,
     peerReach: () => peers.reach(),
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -132,6 +132,8 @@
   lagMs: z.number(),
   // Addresses of known entries, each with the milliseconds since it was last seen.
   members: z.readonly(z.array(z.readonly(z.tuple([z.string(), z.number()])))),
+  // Capacity of the sender and of its members in their order, in hundredths of a processor core; 0 if unknown.
+  capacities: z.optional(z.readonly(z.array(countSchema))),
   // Revisions of the sender's mirrors, by key prefix.
   asOf: revisionsSchema,
   // Availability zone of the sender; this and the next three are absent from older builds, and from entries
--- a/tasks/gateway/_tokenLimitGate.ts
+++ b/tasks/gateway/_tokenLimitGate.ts
@@ -20,6 +20,8 @@
   readonly self: string;
   /** Returns the names of the other entries, or those of which there was a sign within a time. */
   readonly peers: (maxAgeMs?: Milliseconds) => readonly string[];
+  /** Returns the capacity of an entry; 0 if it is unknown. @default always unknown */
+  readonly capacityOf?: ((name: string) => number) | undefined;
   /** How strictly token limits bind; absent if they are not kept. */
   readonly tokenLimitBounds?: LimitBounds | undefined;
   /** Number of entries assumed until more are known. @default 1 */
--- a/tasks/gateway/gatewayOptions.ts
+++ b/tasks/gateway/gatewayOptions.ts
@@ -30,6 +30,8 @@
    * @param maxAgeMs Age of the last sign of an entry up to which it is returned. @default as long as it is listed
    */
   readonly peerNames: (maxAgeMs?: Milliseconds) => readonly string[];
+  /** Returns the capacity of an entry; 0 if it is unknown. @default always unknown */
+  readonly capacityOf?: (name: string) => number;
   /** Returns how many of the known entries are in touch with this one. */
   readonly peerReach: () => Reach;
   /** Called when the other entries should learn of a change of `sharedStates`. */
--- a/tasks/gateway/peerTask.test.ts
+++ b/tasks/gateway/peerTask.test.ts
@@ -64,6 +64,7 @@
     clock: network.clock,
     dial,
     lagMs: () => address.length,
+    cpuShare: address === 'a' ? 0.184 : 0.675,
     shared: { quarantine, requests: requestQuarantine, limits, notices },
     services: NO_SERVICES,
     log: () => undefined,
@@ -85,6 +86,16 @@
     nodes.forEach(({ task }) => expect(task.members).to.have.length(6));
   });
 
+  it('tells all entries the capacity of each', () => {
+    const network = new FakeNetwork();
+    const names = Array.from({ length: 30 }, (_, index) => String.fromCharCode(97 + index));
+    const nodes = names.map((name) => startNode(network, name, ['b']));
+    network.run(8000);
+    nodes.forEach(({ task }) => {
+      expect(names.map((name) => task.capacityOf(name))).to.deep.equal([18, ...Array(29).fill(68)]);
+    });
+  });
+
   it('spreads the newest records to all entries, and never an older revision', () => {
     const network = new FakeNetwork();
     const nodes = ['a', 'b', 'c', 'd', 'e', 'f'].map((name) =>
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -47,6 +47,8 @@
   readonly origins: Pick<OriginTask, 'handleMessage'>;
 };
 
+const CAPACITY_PER_CORE = 100;
+
 /** Options of `PeerTask`. */
 export type PeerTaskOptions = {
   /** Address at which other entries reach this one. */
@@ -59,6 +61,8 @@
   readonly log: Log;
   /** Returns the mean event-loop lag of this process. */
   readonly lagMs: () => Milliseconds;
+  /** Share of a processor core that this process gets; 0 if unknown. @default 0 */
+  readonly cpuShare?: number;
   readonly shared: SharedStates;
   readonly services: PeerServices;
   /** Decides which entries read the store; every entry does without it. */
@@ -118,6 +122,9 @@
   /** Event-loop lags of other entries, each with the time of its report. */
   readonly #lags = new Map<string, { readonly lagMs: Milliseconds; readonly at: Milliseconds }>();
 
+  /** Capacity of entries, in hundredths of a processor core. */
+  readonly #capacities = new Map<string, number>();
+
   #seeds: readonly string[];
 
   #maxKnownEntries: number | undefined;
@@ -132,6 +139,8 @@
   constructor(options: PeerTaskOptions) {
     this.#options = options;
     this.#seeds = options.seeds;
+    const { address: own, cpuShare = 0 } = options;
+    this.#capacities.set(own, Math.round(cpuShare * CAPACITY_PER_CORE));
     this.#links = new ReconnectingLinks({
       clock: options.clock,
       dial: options.dial,
@@ -165,6 +174,11 @@
     return [...this.#lags.values()].map(({ lagMs }) => lagMs);
   }
 
+  /** Returns the capacity of an entry, in hundredths of a processor core; 0 if it is unknown. */
+  capacityOf(address: string): number {
+    return this.#capacities.get(address) ?? 0;
+  }
+
   /** How many of the known entries are in touch with this one, itself included. */
   get reach(): Reach {
     const now = this.#options.clock.now();
@@ -242,7 +256,9 @@
     const { address, clock, readers } = this.#options;
     const now = clock.now();
     this.#members.forEach((lastSeenAt, member) => {
-      if (now - lastSeenAt > MEMBER_TIMEOUT_MS) this.#members.delete(member);
+      if (now - lastSeenAt <= MEMBER_TIMEOUT_MS) return;
+      this.#members.delete(member);
+      this.#capacities.delete(member);
     });
     readers?.noteMembers(this.#members);
     const chosen = chooseLinks(address, this.members, TARGET_PEER_LINKS, readers);
@@ -287,6 +303,7 @@
       address,
       lagMs: this.#options.lagMs(),
       members: members.map((member) => [member, now - (this.#members.get(member) ?? now)] as const),
+      capacities: [address, ...members].map((member) => this.capacityOf(member)),
       asOf: Object.fromEntries([...mirrors].map(([prefix, mirror]) => [prefix, mirror.asOf])),
       quarantine: shared.quarantine.updateSince(known.quarantine, now),
       requests: shared.requests.updateSince(known.requests, now),
@@ -366,6 +383,7 @@
         this.#members.set(member, Math.max(lastSeenAt, now - ageMs));
       }
     });
+    this.#noteCapacities(message);
     this.#maxKnownEntries = Math.max(this.#maxKnownEntries ?? 0, this.#members.size + 1);
     this.#sendNews(message.asOf, reply);
     SHARED_KINDS.forEach((kind) => this.#applyShared(kind, message[kind], now));
@@ -373,6 +391,14 @@
     sendDigest?.(message.probe);
   }
 
+  #noteCapacities({ address, members, capacities = [] }: DigestMessage): void {
+    [address, ...members.map(([member]) => member)].forEach((member, index) => {
+      const capacity = capacities[index] ?? 0;
+      const isOther = member !== this.#options.address && this.#members.has(member);
+      if (capacity > 0 && isOther) this.#capacities.set(member, capacity);
+    });
+  }
+
   /** Sends the changes of the mirrors after the revisions of the receiver. */
   #sendNews(known: DigestMessage['asOf'], reply: (bytes: Uint8Array) => void): void {
     const { mirrors, clock, readers, removalGraceUntil } = this.#options;
--- a/tasks/gateway/tokenLimitTask.ts
+++ b/tasks/gateway/tokenLimitTask.ts
@@ -32,6 +32,8 @@
    * @param maxAgeMs Age of the last sign of an entry up to which it is returned. @default as long as it is listed
    */
   readonly peers: (maxAgeMs?: Milliseconds) => readonly string[];
+  /** Returns the capacity of an entry; 0 if it is unknown. @default always unknown */
+  readonly capacityOf?: ((address: string) => number) | undefined;
   readonly bounds: LimitBounds;
   /** Number of entries assumed until more are known. @default 1 */
   readonly minKnown?: number | undefined;
@@ -80,13 +82,14 @@
   #cancelTick: Cancellation | undefined;
 
   constructor(options: TokenLimitTaskOptions) {
-    const { self, peers, bounds, clock, dial, log, metrics, limitOf } = options;
+    const { self, peers, bounds, clock, dial, log, metrics, limitOf, capacityOf } = options;
     const rateLimitedLog = limitLogRate(log, clock, LOG_INTERVAL_MS);
     this.#options = options;
     this.#holder = new TokenLimitHolder({
       self,
       bounds,
       peers: () => peers(HEARD_MAX_AGE_MS),
+      capacityOf,
       send: (issuer, request) => this.#send(issuer, request),
       onSilent: (issuer, tenant) => {
         this.#closeSilent(issuer);
@@ -103,6 +106,7 @@
       limitOf,
       startedAt: clock.now(),
       minKnown: options.minKnown ?? 1,
+      capacityOf,
       fleet: () => ({ known: peers(), heard: peers(HEARD_MAX_AGE_MS) }),
     });
     this.#links = new ReconnectingLinks({
