Bound all that callers make an entry hold and do, on both interfaces

Callers that do not behave ended a process: 30 clients that pipeline GETs filled the heap in 2.8 s, 60 bodies just short of their end took 217 MB of 210, 60 bodies of 480,000 chunks of a byte left an ordinary request without an answer for over a minute.

Cause: a bound for each form of what callers send, and none for the others. A body's storage doubled, requests that wait and chunks were not counted.

One limiter now counts connections, open requests, bodies, incomplete heads and unread responses. Above the bound the largest incomplete request is refused with 503 (it has not run), or a connection without a single complete request is closed. Bodies are kept in blocks of 64 KiB. A connection is closed above 256 unanswered requests, or if it sends many chunks while others send over 200,000 a second. New setting held_bytes.

Test of the refused body in callerServer.test.ts: the bound counts headers as well, connections and requests as 0 there; what it asks is the same.

--- a/core/admission/mod.ts
+++ b/core/admission/mod.ts
@@ -1,4 +1,6 @@
 /** Intake of requests, load shedding, retry limits, outlier detection and wait estimates. @module */
+export { ConnectionLedger } from './connectionLedger.ts';
+export type { ConnectionHolding } from './connectionLedger.ts';
 export { IntakeQueue } from './intakeQueue.ts';
 export type { IntakeQueueOptions } from './intakeQueue.ts';
 export { OutlierDetector } from './outlierDetector.ts';
--- a/entry/createCallerHandler.ts
+++ b/entry/createCallerHandler.ts
@@ -6,7 +6,7 @@
 import type { NotRun } from '../core/outcome/mod.ts';
 import { sha256 } from '../core/set/mod.ts';
 import { onCallerGone, readBody, RequestIntake, respondJson } from '../http/mod.ts';
-import type { HttpHandler } from '../http/mod.ts';
+import type { CallerLimiter, HttpHandler } from '../http/mod.ts';
 import type { Log } from '../log/mod.ts';
 import { UNKNOWN_TOKEN } from '../tasks/entry/mod.ts';
 import type { CallerRequest, EntryTask, SubmissionEvent } from '../tasks/entry/mod.ts';
@@ -33,6 +33,8 @@
   readonly log: Log;
   /** Holds requests back until it is known that their callers have not left. @default a new one */
   readonly intake?: RequestIntake;
+  /** Bounds what callers make the process hold. @default none */
+  readonly limiter?: CallerLimiter;
 };
 
 type HttpExchange = {
@@ -43,6 +45,9 @@
 
 const MEBIBYTE = 1024 * 1024;
 
+/** Time after which a caller may return whose body was refused. */
+const RETURN_DELAY_MS: Milliseconds = 1000;
+
 const BEARER_PATTERN = /^Bearer ([\x21-\x7e]+)$/;
 
 const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
@@ -71,6 +76,8 @@
 
   readonly #intake: RequestIntake;
 
+  readonly #limiter: CallerLimiter | undefined;
+
   constructor(options: CallerHandlerOptions) {
     this.#task = options.task;
     this.#maxBodyBytes = options.maxBodyBytes ?? MEBIBYTE;
@@ -78,6 +85,7 @@
     this.#maxUnreadBytes = options.maxUnreadBytes ?? MEBIBYTE / 4;
     this.#log = options.log;
     this.#intake = options.intake ?? new RequestIntake();
+    this.#limiter = options.limiter;
   }
 
   async serveCompletion(format: CompletionFormat, exchange: HttpExchange): Promise<void> {
@@ -147,7 +155,7 @@
       respondRefusal(exchange.response, exchange.requestId, UNKNOWN_TOKEN);
       return undefined;
     }
-    const result = await readBody(exchange.request, this.#maxBodyBytes);
+    const result = await readBody(exchange.request, this.#maxBodyBytes, this.#limiter);
     if (result.kind === 'body') return result.text;
     const { response, requestId: name } = exchange;
     if (result.kind === 'too-large') {
@@ -158,6 +166,11 @@
       response.setHeader('Connection', 'close');
       respondRefusal(response, name, outcome);
     }
+    if (result.kind === 'refused') {
+      response.setHeader('Connection', 'close');
+      const detail = 'callers send too much at once; send the request again later';
+      respondRefusal(response, name, notRun('overloaded', detail, RETURN_DELAY_MS));
+    }
     if (result.kind === 'not-utf8') {
       respondRefusal(response, name, notRun('bad-request', 'the body is not UTF-8; send UTF-8'));
     }
--- a/http/listen.ts
+++ b/http/listen.ts
@@ -1,5 +1,6 @@
 import type { Server, IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
+import type { CallerLimiter } from './callerLimiter.ts';
 import type { RequestIntake } from './requestIntake.ts';
 
 /** The address that an HTTP server listens on. */
@@ -28,14 +29,17 @@
  * @param address The address to listen on; port 0 picks a free port.
  * @param handler Called for each request.
  * @param intake Observes the connections, for a handler that adds its requests to it.
+ * @param limiter Bounds what callers make the process hold and do.
  */
 export async function listenHttp(
   address: HttpAddress,
   handler: HttpHandler,
   intake?: RequestIntake,
+  limiter?: CallerLimiter,
 ): Promise<HttpListener> {
   const server = createServer(handler);
   intake?.observe(server);
+  limiter?.observe(server);
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
     server.listen(address.port, address.ip, () => resolve());
--- a/http/mod.ts
+++ b/http/mod.ts
@@ -1,4 +1,6 @@
 /** Helpers for HTTP servers, the intake of requests, and a parser of server-sent events. @module */
+export { CallerLimiter } from './callerLimiter.ts';
+export type { CallerLimiterOptions, ReadingRequest } from './callerLimiter.ts';
 export { listenHttp } from './listen.ts';
 export type { HttpAddress, HttpHandler, HttpListener } from './listen.ts';
 export { readBody } from './readBody.ts';
@@ -6,5 +8,6 @@
 export type { SocketReads } from './_loopTurns.ts';
 export { onCallerGone, RequestIntake } from './requestIntake.ts';
 export type { ReadRequest, RequestArrival, RequestIntakeOptions } from './requestIntake.ts';
+export { RequestBody } from './requestBody.ts';
 export { respondJson, respondText } from './respond.ts';
 export { ServerSentEventParser } from './serverSentEvents.ts';
--- a/http/readBody.ts
+++ b/http/readBody.ts
@@ -1,17 +1,20 @@
 import type { IncomingMessage } from 'node:http';
+import type { CallerLimiter } from './callerLimiter.ts';
+import { RequestBody } from './requestBody.ts';
 
 /** The result of reading a request's body. */
 export type BodyResult =
   | { readonly kind: 'body'; readonly text: string }
   | { readonly kind: 'too-large'; readonly limitBytes: number }
   | { readonly kind: 'not-utf8' }
+  | { readonly kind: 'refused' }
   | { readonly kind: 'broken-off' };
 
 const utf8 = new TextDecoder('utf-8', { fatal: true });
 
-function decode(chunks: readonly Buffer[]): BodyResult {
+function decode(body: Buffer): BodyResult {
   try {
-    return { kind: 'body', text: utf8.decode(Buffer.concat(chunks)) };
+    return { kind: 'body', text: utf8.decode(body) };
   } catch {
     return { kind: 'not-utf8' };
   }
@@ -28,19 +31,37 @@
  *
  * @param request The request.
  * @param limitBytes The largest body that is kept in memory.
+ * @param limiter Counts the body, and may have it refused. @default none
  */
-export async function readBody(request: IncomingMessage, limitBytes: number): Promise<BodyResult> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-      size += (chunk as Buffer).length;
-      if (size <= limitBytes) chunks.push(chunk as Buffer);
-      else chunks.length = 0;
-      if (size > DISCARD_LIMIT_FACTOR * limitBytes) break;
-    }
-  } catch {
-    return { kind: 'broken-off' };
-  }
-  return size > limitBytes ? { kind: 'too-large', limitBytes } : decode(chunks);
+export function readBody(
+  request: IncomingMessage,
+  limitBytes: number,
+  limiter?: CallerLimiter,
+): Promise<BodyResult> {
+  return new Promise((resolve) => {
+    const body = new RequestBody();
+    let size = 0;
+    const settle = (result: BodyResult): void => {
+      request.removeAllListeners('data');
+      request.resume();
+      resolve(result);
+    };
+    const reading = limiter?.read(request, () => {
+      body.clear();
+      settle({ kind: 'refused' });
+    });
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= limitBytes) body.append(chunk);
+      else body.clear();
+      if (size > DISCARD_LIMIT_FACTOR * limitBytes) settle({ kind: 'too-large', limitBytes });
+      else reading?.hold(body.heldBytes);
+    });
+    request.once('end', () => {
+      reading?.complete();
+      settle(size > limitBytes ? { kind: 'too-large', limitBytes } : decode(body.take()));
+    });
+    request.once('error', () => settle({ kind: 'broken-off' }));
+    request.once('close', () => settle({ kind: 'broken-off' }));
+  });
 }
--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -71,10 +71,13 @@
   stop = () => {
     socket.off('end', handleEnd);
     response.off('close', handleClose);
+    socket.off('close', handleClose);
   };
   // The response closes turns after the socket has ended, and later still if writes are blocked.
   socket.once('end', handleEnd);
   response.once('close', handleClose);
+  // The responses to pipelined requests do not close with their socket.
+  socket.once('close', handleClose);
   return stop;
 }
 
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -397,13 +397,13 @@
     message: 'The configuration is known to be the newest one; requests with keys are served again',
     remedy: 'None needed',
   },
-  bodyRefused: {
+  callerLimited: {
     number: 'HS8047',
     level: 'warn',
     message:
-      'A request was refused: the bodies of all open requests fill their share of the memory',
+      'A request was refused or a connection closed: callers make the process hold or do too much',
     remedy:
-      'Look for backend servers that read slowly, or callers that send slowly; or give the host more memory',
+      'Look for callers that send slowly, many requests at once or tiny chunks, and for backend servers that read slowly; or give the host more memory',
   },
   tokenIssuerSilent: {
     number: 'HS8055',
--- a/programs/demo/_startDeployment.ts
+++ b/programs/demo/_startDeployment.ts
@@ -90,7 +90,12 @@
     listen: { callers: ANY_LOOPBACK_PORT, admin: ANY_LOOPBACK_PORT },
     platform: context.platform,
     link: {},
-    limits: { request_timeout: 60_000, body_bytes: 1_048_576, unread_bytes: 262_144 },
+    limits: {
+      request_timeout: 60_000,
+      body_bytes: 1_048_576,
+      unread_bytes: 262_144,
+      held_bytes: 134_217_728,
+    },
     log: { format: 'text', level: 'warn' },
   };
   return startEntry({ settings, linkKeys: LINK_KEYS, log: context.log });
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -8,7 +8,7 @@
 import { Metrics } from '../../metrics/mod.ts';
 import type { ProcessSettings } from '../../platform/mod.ts';
 import { Gateway, LoadSheddingTask } from '../../tasks/gateway/mod.ts';
-import { RequestIntake } from '../../http/mod.ts';
+import { CallerLimiter, RequestIntake } from '../../http/mod.ts';
 import { dialWebSocket, readFirstClock, realClock } from '../../transport/mod.ts';
 import { splitAddress } from './_splitAddress.ts';
 import { NO_PEERS, startPeers } from './_startPeers.ts';
@@ -36,8 +36,8 @@
 
 const BYTES_IN_MB = 1_000_000;
 
-/** Share of the memory that the bodies of open requests may take. */
-const MAX_BODY_MEMORY_SHARE = 0.3;
+/** Share of the memory that callers' connections and requests may take. */
+const MAX_CALLER_MEMORY_SHARE = 0.2;
 
 /** Time after SIGTERM during which new requests are still served; the load balancer needs two seconds to react. */
 const LAME_DUCK_MS: Milliseconds = 2600;
@@ -100,7 +100,16 @@
     },
   });
   const rateLimitedLog = limitLogRate(log, realClock);
-  const server: CallerServer = new CallerServer({
+  const limiter: CallerLimiter = new CallerLimiter({
+    ...(settings.memoryMb > 0 && {
+      maxHeldBytes: settings.memoryMb * BYTES_IN_MB * MAX_CALLER_MEMORY_SHARE,
+    }),
+    onLimited: () => {
+      metrics.count('callers_limited_total');
+      rateLimitedLog('callerLimited', { heldBytes: limiter.heldBytes });
+    },
+  });
+  const server = new CallerServer({
     ...splitAddress(settings.callerAddress ?? `${settings.ip}:0`),
     limits: INITIAL_CALLER_LIMITS,
     handle: (request) => {
@@ -109,13 +118,7 @@
     },
     rejectEarly: (request) => gateway.rejectEarly(request),
     onCallerGone: (request) => gateway.noteCallerGone(request),
-    ...(settings.memoryMb > 0 && {
-      maxHeldBodyBytes: settings.memoryMb * BYTES_IN_MB * MAX_BODY_MEMORY_SHARE,
-    }),
-    onBodyRefused: () => {
-      metrics.count('bodies_refused_total');
-      rateLimitedLog('bodyRefused', { heldBodyBytes: server.heldBodyBytes });
-    },
+    limiter,
     intake,
   });
   const records = new StoreRecords({
@@ -160,7 +163,7 @@
   records.start();
   metrics.gauge('open_requests', () => gateway.openRequestCount);
   metrics.gauge('open_connections', () => server.openConnectionCount);
-  metrics.gauge('held_body_bytes', () => server.heldBodyBytes);
+  metrics.gauge('held_caller_bytes', () => server.heldBytes);
   metrics.gauge('accept_run', () => server.acceptRun);
   metrics.gauge('intake_wait_ms', () => Math.round(server.oldestWaitMs));
   metrics.gauge('known_servers', () => gateway.servers.size);
--- a/programs/serving/testing/servingProgram.ts
+++ b/programs/serving/testing/servingProgram.ts
@@ -16,6 +16,8 @@
   readonly ip: string;
   /** Gossip addresses of other entries. @default none */
   readonly seeds?: readonly string[];
+  /** Memory of the process. @default unknown to the process */
+  readonly memoryMb?: number;
 };
 
 /** A built entry that runs as a process of its own. */
@@ -49,7 +51,7 @@
 
 /** Starts a built entry as a process of its own; resolves once its log says that it has started. */
 export async function startServingProgram(options: ServingProgramOptions): Promise<ServingProgram> {
-  const { loader, storeAddress, ip, seeds = [] } = options;
+  const { loader, storeAddress, ip, seeds = [], memoryMb = 0 } = options;
   const directory = mkdtempSync(join(tmpdir(), 'hyssopspread-'));
   const [callerPort, readinessPort, peerPort, linkPort] = await Promise.all([
     freePortOf(ip),
@@ -70,6 +72,7 @@
     seeds,
     platform: { address: storeAddress },
     bounds: { 'grace-s': 1, 'retry-slack': 200 },
+    limits: { 'memory-mb': memoryMb },
   };
   const file = join(directory, 'node.yaml');
   writeFileSync(file, JSON.stringify(settings));
--- a/programs/startEntry.ts
+++ b/programs/startEntry.ts
@@ -1,8 +1,9 @@
 import { nanoid } from 'nanoid';
 import { createAdminHandler, createEntrySource, RecentEvents } from '../admin/mod.ts';
 import { createCallerHandler } from '../entry/mod.ts';
-import { listenHttp, RequestIntake } from '../http/mod.ts';
+import { CallerLimiter, listenHttp, RequestIntake } from '../http/mod.ts';
 import { isWatcher } from '../core/membership/mod.ts';
+import { limitLogRate } from '../log/mod.ts';
 import type { Log } from '../log/mod.ts';
 import { createHttpConfiguration, createHttpHostList } from '../publishing/mod.ts';
 import type { Settings } from '../settings/mod.ts';
@@ -67,6 +68,11 @@
     onHosts: (hosts) => task.applyHosts(hosts),
   });
   const intake = new RequestIntake();
+  const rateLimitedLog = limitLogRate(log, clock);
+  const limiter: CallerLimiter = new CallerLimiter({
+    maxHeldBytes: settings.limits.held_bytes,
+    onLimited: () => rateLimitedLog('callerLimited', { heldBytes: limiter.heldBytes }),
+  });
   const callers = await listenHttp(
     settings.listen.callers,
     createCallerHandler({
@@ -76,8 +82,10 @@
       maxUnreadBytes: settings.limits.unread_bytes,
       log,
       intake,
+      limiter,
     }),
     intake,
+    limiter,
   );
   const admin = await listenHttp(
     settings.listen.admin,
@@ -99,6 +107,7 @@
         task.leave(resolve);
       });
       await callers.close();
+      limiter.close();
       setTask.stop();
       hostListTask.stop();
       task.stop();
--- a/programs/testing/processFleet.ts
+++ b/programs/testing/processFleet.ts
@@ -56,6 +56,8 @@
   readonly engines?: readonly string[];
   /** Further lines of `[engines]` in the stand-ins' settings. @default '' */
   readonly engineSettings?: string;
+  /** Further lines of the entry's settings. @default '' */
+  readonly entrySettings?: string;
   /** Returns the port at which entries reach a sidecar that listens on `port`. */
   readonly relay?: (host: string, port: number) => Promise<number>;
 };
@@ -91,7 +93,7 @@
   }
 
   async #start(options: ProcessFleetOptions): Promise<void> {
-    const { relay, engines = ENGINES, engineSettings = '' } = options;
+    const { relay, engines = ENGINES, engineSettings = '', entrySettings = '' } = options;
     writeFileSync(join(this.#folder, 'set.ini'), setText(engines));
     const standinsSettings = standinsText(engines, engineSettings);
     const standins = await this.#spawn('standins', 'standins', standinsSettings).event(
@@ -115,7 +117,7 @@
     );
     await request(`${platform}/v1/hosts`, { method: 'PUT', body: JSON.stringify(hosts) });
     const listen = '[listen]\ncallers = 127.0.0.1:0\nadmin = 127.0.0.1:0';
-    const settings = processSettings('entry-1', platform, listen);
+    const settings = processSettings('entry-1', platform, `${listen}\n${entrySettings}`);
     this.entry = this.#spawn('entry', 'entry-1', settings);
     const { callersPort } = await this.entry.event(PROCESS_STARTED);
     this.url = `http://127.0.0.1:${callersPort}`;
--- a/proxy/callerServer.test.ts
+++ b/proxy/callerServer.test.ts
@@ -4,6 +4,7 @@
 import { runInNewContext } from 'node:vm';
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { CallerLimiter } from '../http/mod.ts';
 import { CallerServer } from './mod.ts';
 import type { CallerRequest } from './mod.ts';
 import type { CallerLimits } from '../core/serving/mod.ts';
@@ -391,10 +392,14 @@
         ip: '127.0.0.1',
         port: 0,
         limits: LIMITS,
-        maxHeldBodyBytes: MAX_HELD_BYTES,
-        onBodyRefused: () => {
-          refusals += 1;
-        },
+        limiter: new CallerLimiter({
+          maxHeldBytes: MAX_HELD_BYTES,
+          connectionBytes: 0,
+          requestBytes: 0,
+          onLimited: () => {
+            refusals += 1;
+          },
+        }),
         handle: (request) => {
           requests.push(request);
           respond(request);
@@ -425,7 +430,7 @@
       while (requests.length < 2) await sleep(5);
       first.socket.destroy();
       respondOk(requests[1]!);
-      while (server.heldBodyBytes > 0) await sleep(5);
+      while (server.heldBytes > 0) await sleep(5);
       respond = respondOk;
       expect(await send(post('/c', 900, false)).closed).to.match(/^HTTP\/1\.1 200 /);
     });
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -2,10 +2,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { CallerLimits } from '../core/serving/mod.ts';
 import type { Milliseconds } from '../core/clock/mod.ts';
-import { onCallerGone, RequestIntake } from '../http/mod.ts';
+import { CallerLimiter, onCallerGone, RequestBody, RequestIntake } from '../http/mod.ts';
 import type { RequestArrival } from '../http/mod.ts';
 import { HeaderTimeout } from './_headerTimeout.ts';
-import { RequestBody } from './_requestBody.ts';
 
 /** A caller's request with its complete body. */
 export type CallerRequest = {
@@ -66,10 +65,8 @@
   readonly rejectEarly?: (request: EarlyRequest) => boolean;
   /** Called instead of `handle` if the caller left before. @default does nothing */
   readonly onCallerGone?: (request: CallerRequest) => void;
-  /** Bytes of the bodies of all open requests above which a further one is refused. @default no limit */
-  readonly maxHeldBodyBytes?: number;
-  /** Called when a request is refused because of `maxHeldBodyBytes`. @default does nothing */
-  readonly onBodyRefused?: () => void;
+  /** Bounds what callers make the process hold and do. @default without a bound of memory */
+  readonly limiter?: CallerLimiter;
   /** Passes on the requests; closed with the server. @default one of its own */
   readonly intake?: RequestIntake;
 };
@@ -110,6 +107,12 @@
   response.end();
 }
 
+/** Refuses a request that has not run, spread over time so that callers do not return together. */
+function refuseRequest(request: IncomingMessage, response: ServerResponse): void {
+  const delayS = RETURN_DELAY_S * (1 + Math.random());
+  rejectRequest(request, response, UNAVAILABLE, { 'retry-after': delayS.toFixed(1) });
+}
+
 /** HTTP/1.1 server for callers. */
 export class CallerServer {
   readonly #server: Server;
@@ -124,10 +127,9 @@
 
   #isDraining = false;
 
-  #openRequests = 0;
+  readonly #limiter: CallerLimiter;
 
-  /** Bytes of the bodies of all open requests. */
-  #heldBodyBytes = 0;
+  #openRequests = 0;
 
   constructor(options: CallerServerOptions) {
     this.#options = options;
@@ -148,6 +150,8 @@
     this.#server.on('connection', (socket) => this.#headerTimeout.add(socket));
     this.#intake = options.intake ?? new RequestIntake();
     this.#intake.observe(this.#server);
+    this.#limiter = options.limiter ?? new CallerLimiter();
+    this.#limiter.observe(this.#server);
     this.applyLimits(options.limits);
   }
 
@@ -156,9 +160,9 @@
     return this.#openRequests;
   }
 
-  /** Bytes of the bodies of all open requests. */
-  get heldBodyBytes(): number {
-    return this.#heldBodyBytes;
+  /** Memory that callers' connections and requests take. */
+  get heldBytes(): number {
+    return this.#limiter.heldBytes;
   }
 
   /** Number of turns of the event loop in a row, up to now, that each accepted a connection. */
@@ -209,32 +213,31 @@
   abort(): void {
     this.#headerTimeout.close();
     this.#intake.close();
+    this.#limiter.close();
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
-  /** Refuses a request that has not run, spread over time so that callers do not return together. */
-  #refuseBody(request: IncomingMessage, response: ServerResponse): void {
-    const delayS = RETURN_DELAY_S * (1 + Math.random());
-    rejectRequest(request, response, UNAVAILABLE, { 'retry-after': delayS.toFixed(1) });
-    this.#options.onBodyRefused?.();
-  }
-
   #readRequest(request: IncomingMessage, response: ServerResponse): void {
-    const { maxHeldBodyBytes = Infinity } = this.#options;
+    // The rest of what was read from a connection that is closed meanwhile.
+    if (request.socket.destroyed) return;
     this.#headerTimeout.noteHeadersComplete(request);
     response.sendDate = false;
     this.#openRequests += 1;
-    response.once('close', () => {
+    const handleClose = (): void => {
+      response.off('close', handleClose);
+      request.socket.off('close', handleClose);
       this.#openRequests -= 1;
-    });
+    };
+    response.once('close', handleClose);
+    request.socket.once('close', handleClose);
     this.#rejectEarlyWithoutBody(request, response);
     const body = new RequestBody();
-    let size = 0;
-    let heldBytes = 0;
-    response.once('close', () => {
-      this.#heldBodyBytes -= heldBytes;
+    const reading = this.#limiter.read(request, () => {
+      body.clear();
+      refuseRequest(request, response);
     });
+    let size = 0;
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (response.headersSent) {
@@ -245,16 +248,13 @@
       if (size > this.#limits.maxBodyBytes) {
         body.clear();
         rejectRequest(request, response, PAYLOAD_TOO_LARGE);
-      } else if (this.#heldBodyBytes + chunk.length > maxHeldBodyBytes) {
-        body.clear();
-        this.#refuseBody(request, response);
       } else {
-        this.#heldBodyBytes += chunk.length;
-        heldBytes += chunk.length;
         body.append(chunk);
       }
+      reading.hold(body.heldBytes);
     });
     request.once('end', () => {
+      reading.complete();
       if (response.writableEnded) return;
       if (headerBytes(request) > this.#limits.maxHeaderBytes) {
         rejectRequest(request, response, HEADER_FIELDS_TOO_LARGE);
--- a/settings/_schemas.ts
+++ b/settings/_schemas.ts
@@ -54,6 +54,7 @@
       request_timeout: duration.default(60_000),
       body_bytes: integerBetween(1024, 2_097_152).default(1_048_576),
       unread_bytes: integerBetween(16_384, 16_777_216).default(262_144),
+      held_bytes: integerBetween(4_194_304, 17_179_869_184).default(134_217_728),
     })
     .prefault({}),
   log: logSection,
