Dial an issuer of tokens again soon once its connection has closed

A refused connection shows that the issuer has ended, and not that it is busy: it was dialled after 3 s as well, while those that stand in issue a part.

--- a/tasks/links/reconnectingLinks.test.ts
+++ b/tasks/links/reconnectingLinks.test.ts
@@ -30,6 +30,8 @@
   describe('with a peer that is busy', () => {
     let opened: (() => void) | undefined;
 
+    let closed: (() => void) | undefined;
+
     let links: ReconnectingLinks;
 
     function createLinksTo(silenceMs: number): ReconnectingLinks {
@@ -38,6 +40,7 @@
         dial: (address, events) => {
           dialed.push(address);
           opened = () => events.opened();
+          closed = () => events.closed();
           return { send: () => undefined, close: () => undefined };
         },
         onOpen: () => undefined,
@@ -67,6 +70,14 @@
       expect(links.isOpen('busy')).to.equal(true);
     });
 
+    it('dials again soon once the connection has closed', () => {
+      links = createLinksTo(Infinity);
+      links.open('ended');
+      closed!();
+      tickUntil(800);
+      expect(dialed).to.deep.equal(['ended', 'ended']);
+    });
+
     it('dials again if a peer that sends without being asked stays silent', () => {
       links = createLinksTo(1500);
       links.open('busy');
--- a/tasks/links/reconnectingLinks.ts
+++ b/tasks/links/reconnectingLinks.ts
@@ -13,14 +13,22 @@
   readonly onLost: (address: string, reason: 'closed' | 'silent', silentMs: Milliseconds) => void;
   /** Time without a message after which a link counts as lost; `Infinity` if the peer only answers. @default 1500 */
   readonly silenceMs?: Milliseconds;
-  /** Time from dialling to the next attempt while the link does not work. @default 600 */
+  /**
+   * Time from dialling to the next attempt while the link neither works nor has closed, which shows that the
+   * peer may only be busy. @default 600
+   */
   readonly redialDelayMs?: Milliseconds;
 };
 
+/** Time from dialling to the next attempt once the connection has closed. */
+const CLOSED_REDIAL_DELAY_MS: Milliseconds = 600;
+
 type Link = {
   readonly address: string;
   connection: Connection | undefined;
   isOpen: boolean;
+  /** Whether the current connection has closed. */
+  isClosed: boolean;
   /** Whether the current connection has received a message. */
   hasReceived: boolean;
   receivedAt: Milliseconds;
@@ -41,7 +49,7 @@
   readonly #links = new Map<string, Link>();
 
   constructor(options: ReconnectingLinksOptions) {
-    this.#options = { silenceMs: 1500, redialDelayMs: 600, ...options };
+    this.#options = { silenceMs: 1500, redialDelayMs: CLOSED_REDIAL_DELAY_MS, ...options };
   }
 
   /** Addresses of all links, open or connecting. */
@@ -57,6 +65,7 @@
       address,
       connection: undefined,
       isOpen: false,
+      isClosed: false,
       hasReceived: false,
       receivedAt: now,
       dialedAt: now,
@@ -98,7 +107,8 @@
     runAll([...this.#links.values()], (link) => {
       if (link.hasReceived && now - link.receivedAt > silenceMs) this.#handleLoss(link, 'silent');
       const works = link.hasReceived || (link.isOpen && silenceMs === Infinity);
-      if (!works && now - link.dialedAt > redialDelayMs) this.#dial(link);
+      const delayMs = link.isClosed ? CLOSED_REDIAL_DELAY_MS : redialDelayMs;
+      if (!works && now - link.dialedAt > delayMs) this.#dial(link);
     });
   }
 
@@ -108,6 +118,7 @@
     link.connection?.close();
     const { epoch, address } = link;
     link.isOpen = false;
+    link.isClosed = false;
     link.dialedAt = clock.now();
     link.connection = dial(address, {
       opened: () => {
@@ -124,6 +135,7 @@
       closed: () => {
         if (link.epoch !== epoch) return;
         link.isOpen = false;
+        link.isClosed = true;
         if (link.hasReceived) this.#handleLoss(link, 'closed');
       },
     });
