Stop counting connections that are closed, and keep idle ones and requests without a body

Found by tests of the limiter of its own. A connection that had been closed for its requests was counted again when the requests read before were complete, and for ever, so that in the end every caller would have been refused. While complete requests filled the bound, new connections were closed before their request was read, and requests without a body refused, which complete requests must not be.

--- a/http/callerLimiter.ts
+++ b/http/callerLimiter.ts
@@ -44,9 +44,16 @@
 
 const WINDOW_MS: Milliseconds = 1000;
 
+/** Bytes of an incomplete head, or of a response that is not read, up to which a connection counts as idle. */
+const MAX_IDLE_BYTES = 4096;
+
 /** Chunks in a second for which no connection is closed. */
 const FEW_CHUNKS = 1000;
 
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+}
+
 /**
  * Bounds what the callers of one or more servers make the process hold and do, whatever the form in which
  * they send it.
@@ -105,7 +112,9 @@
    */
   read(request: IncomingMessage, refuse: () => void): ReadingRequest {
     const connection = this.#connections.get(request.socket);
-    if (connection === undefined) return { hold: () => undefined, complete: () => undefined };
+    if (connection === undefined || !hasBody(request)) {
+      return { hold: () => undefined, complete: () => undefined };
+    }
     connection.refuse = refuse;
     this.#count(connection);
     const headBytes = this.#requestBytes(request);
@@ -157,7 +166,7 @@
     response.once('close', () => {
       connection.requests.delete(request);
       connection.bytesReadBefore = connection.socket.bytesRead;
-      if (this.#connections.has(connection.socket)) this.#count(connection);
+      this.#count(connection);
     });
     if (connection.requests.size > this.#options.maxUnanswered) this.#closeConnection(connection);
     else this.#count(connection);
@@ -192,12 +201,16 @@
 
   #count(connection: Connection): void {
     const { socket, requests, bytesReadBefore, refuse } = connection;
+    // Requests read before are still reported once a connection is closed.
+    if (!this.#connections.has(socket)) return;
     const headBytes = requests.size === 0 ? socket.bytesRead - bytesReadBefore : 0;
-    let bytes = this.#options.connectionBytes + headBytes + socket.writableLength;
+    const looseBytes = headBytes + socket.writableLength;
+    let bytes = this.#options.connectionBytes + looseBytes;
     requests.forEach((requestBytes) => {
       bytes += requestBytes;
     });
-    const mayClose = refuse !== undefined || requests.size !== 1;
+    const isIdle = requests.size === 0 && looseBytes <= MAX_IDLE_BYTES;
+    const mayClose = refuse !== undefined || (requests.size !== 1 && !isIdle);
     this.#ledger.set(connection, { bytes, mayClose });
     const { excess } = this.#ledger;
     if (excess !== undefined) this.#limit(excess);
