Leave room for chunks that are not collected yet in the memory of small hosts

With a bound of 0.2 of 210 MB, 60 bodies of 4.19 MB took 210.8 MB at most in one run of three beside load: chunks that were read and dropped take up to 64 MB until they are collected, on a host of any size.

The crowd that pipelines uses the path and the header of its target, as the other interface needs; it passes on both.

--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -36,8 +36,15 @@
 
 const BYTES_IN_MB = 1_000_000;
 
-/** Share of the memory that callers' connections and requests may take. */
-const MAX_CALLER_MEMORY_SHARE = 0.2;
+/** Least and largest share of the memory that callers' connections and requests may take. */
+const MIN_CALLER_MEMORY_SHARE = 0.1;
+const MAX_CALLER_MEMORY_SHARE = 0.3;
+
+/** Memory that a process takes by itself, with chunks of bodies that are read and not collected yet. */
+const OWN_MEMORY_MB = 180;
+
+/** Share of the rest that callers' connections and requests may take. */
+const CALLER_SHARE_OF_REST = 0.5;
 
 /** Time after SIGTERM during which new requests are still served; the load balancer needs two seconds to react. */
 const LAME_DUCK_MS: Milliseconds = 2600;
@@ -51,6 +58,14 @@
 /** Time between checks whether all open requests have ended. */
 const DRAIN_POLL_INTERVAL_MS: Milliseconds = 50;
 
+/** Returns the memory that callers' connections and requests may take of that of the process. */
+function maxCallerBytes(memoryMb: number): number {
+  const restMb = (memoryMb - OWN_MEMORY_MB) * CALLER_SHARE_OF_REST;
+  const leastMb = memoryMb * MIN_CALLER_MEMORY_SHARE;
+  const mostMb = memoryMb * MAX_CALLER_MEMORY_SHARE;
+  return Math.min(mostMb, Math.max(leastMb, restMb)) * BYTES_IN_MB;
+}
+
 /**
  * Starts the gateway of an entry, the process that serves callers (role `entry`).
  *
@@ -101,9 +116,7 @@
   });
   const rateLimitedLog = limitLogRate(log, realClock);
   const limiter: CallerLimiter = new CallerLimiter({
-    ...(settings.memoryMb > 0 && {
-      maxHeldBytes: settings.memoryMb * BYTES_IN_MB * MAX_CALLER_MEMORY_SHARE,
-    }),
+    ...(settings.memoryMb > 0 && { maxHeldBytes: maxCallerBytes(settings.memoryMb) }),
     onLimited: () => {
       metrics.count('callers_limited_total');
       rateLimitedLog('callerLimited', { heldBytes: limiter.heldBytes });
--- a/programs/testing/crowd.ts
+++ b/programs/testing/crowd.ts
@@ -34,8 +34,12 @@
 
 const TINY_CHUNKS_PER_PIECE = 4000;
 
-const headOf = ({ path, header = 'X-A: b' }: CrowdTarget, framing: string): string =>
-  `POST ${path} HTTP/1.1${LINE}Host: house.example${LINE}${header}${LINE}${framing}${LINE}${LINE}`;
+/** Returns the rest of a request line and its first headers. */
+const headOf = (path: string, { header = 'X-A: b' }: CrowdTarget): string =>
+  `${path} HTTP/1.1${LINE}Host: house.example${LINE}${header}${LINE}`;
+
+const beginBody = (target: CrowdTarget, framing: string): string =>
+  `POST ${headOf(target.path, target)}${framing}${LINE}${LINE}`;
 
 const CHUNKED = 'Transfer-Encoding: chunked';
 
@@ -44,25 +48,24 @@
   'requests pipelined without end': {
     clients: 30,
     begin: () => '',
-    repeat: () =>
-      Buffer.from(`GET /look/1 HTTP/1.1${LINE}Host: house.example${LINE}${LINE}`.repeat(500)),
+    repeat: (target) => Buffer.from(`GET ${headOf(target.emptyPath, target)}${LINE}`.repeat(500)),
   },
   'large bodies that stop short of their end': {
     clients: 60,
-    begin: (target) => headOf(target, `Content-Length: ${BODY_BYTES}`),
+    begin: (target) => beginBody(target, `Content-Length: ${BODY_BYTES}`),
     repeat: () => Buffer.alloc(PIECE_BYTES, 'a'),
     times: Math.floor(BODY_BYTES / PIECE_BYTES),
   },
   'bodies in large chunks that stop short of their end': {
     clients: 60,
-    begin: (target) => headOf(target, CHUNKED),
+    begin: (target) => beginBody(target, CHUNKED),
     repeat: () =>
       Buffer.from(`${PIECE_BYTES.toString(16)}${LINE}${'a'.repeat(PIECE_BYTES)}${LINE}`),
     times: Math.floor(BODY_BYTES / PIECE_BYTES),
   },
   'bodies in chunks of a byte that stop short of their end': {
     clients: 60,
-    begin: (target) => headOf(target, CHUNKED),
+    begin: (target) => beginBody(target, CHUNKED),
     repeat: () => Buffer.from(`1${LINE}a${LINE}`.repeat(TINY_CHUNKS_PER_PIECE)),
     times: 120,
   },
