Count an open request of a caller that has left once

A host that got SIGTERM closed connections 4.5 s later, in the middle of answers, although its grace is 8 s.

Cause: since the close of the response and that of the socket both end the count of an open request. The first removes the listener of the second, but an emitter that is in the middle of an event still calls it, so that each caller that left was subtracted twice, and a stopping process took its open requests for ended. onCallerGone had the same.

Test 'counts the request of a caller that has left once': 0 open requests before where one is open, now 1. The tests of the caller server, http, the stop, callers that leave, the intake and the entry pass (58).

--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -59,16 +59,21 @@
   run: () => void,
 ): () => void {
   const { socket } = request;
+  let isObserved = true;
   let stop = (): void => undefined;
   const handleEnd = (): void => {
+    if (!isObserved) return;
     stop();
     run();
   };
   const handleClose = (): void => {
+    // The close of the socket is what closes the response, and both call this.
+    if (!isObserved) return;
     stop();
     if (!response.writableFinished) run();
   };
   stop = () => {
+    isObserved = false;
     socket.off('end', handleEnd);
     response.off('close', handleClose);
     socket.off('close', handleClose);
--- a/proxy/callerServer.test.ts
+++ b/proxy/callerServer.test.ts
@@ -377,6 +377,19 @@
     });
   });
 
+  // Guards against a stopping process that closes connections because it takes their requests for ended.
+  it('counts the request of a caller that has left once', async () => {
+    respond = () => undefined;
+    const leaving = send('GET /leaving HTTP/1.1\r\nHost: a\r\n\r\n');
+    send('GET /staying HTTP/1.1\r\nHost: a\r\n\r\n');
+    while (requests.length < 2) await sleep(5);
+    expect(server.openRequestCount).to.equal(2);
+    leaving.socket.destroy();
+    while (server.openRequestCount === 2) await sleep(5);
+    await sleep(50);
+    expect(server.openRequestCount).to.equal(1);
+  });
+
   describe('bodies of open requests that fill their share of the memory', () => {
     const MAX_HELD_BYTES = 2000;
 
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -224,10 +224,13 @@
     this.#headerTimeout.noteHeadersComplete(request);
     response.sendDate = false;
     this.#openRequests += 1;
+    let isOpen = true;
     const handleClose = (): void => {
       response.off('close', handleClose);
       request.socket.off('close', handleClose);
-      this.#openRequests -= 1;
+      // The close of the socket is what closes the response, and both call this.
+      if (isOpen) this.#openRequests -= 1;
+      isOpen = false;
     };
     response.once('close', handleClose);
     request.socket.once('close', handleClose);
