Reject responses with a status that HTTP does not define

Here 000, 050 and 099 did not reach callers, but only because of an assertion in the HTTP client; 600 and 999 did, with the server's proof.

An undefined status now ends the attempt like any other bytes that are no response: retried where the route allows it, else 502.

Tests 'status 600 with proof' and 'status 999 with proof' of a built entry fail before; those of 000 and 099 pass before and hold the behaviour.

--- a/programs/serving/malformedResponse.test.ts
+++ b/programs/serving/malformedResponse.test.ts
@@ -22,6 +22,9 @@
 /** Time after its timeout within which a request must be answered. */
 const MAX_LATE_MS = 500;
 
+/** Headers of a response to the request, with the proof of its server. */
+const OWN_HEADERS = 'X-Request-Id: ID\r\nX-Response-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\n';
+
 /** Heads of responses that are none, after which the connection stays open. */
 const MALFORMED_HEADS: Readonly<Record<string, string>> = {
   'status 000': 'HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok',
@@ -36,9 +39,17 @@
   'another protocol': 'SSH-2.0-OpenSSH_9.6\r\n',
   'random bytes': '\u0000\u0001\u0016\u0003\u0001\r\n\r\n',
   'a header without a name': 'HTTP/1.1 200 OK\r\n: x\r\n\r\n',
+  'status 000 with proof': `HTTP/1.1 000 OK\r\n${OWN_HEADERS}Content-Length: 2\r\n\r\nok`,
+  'status 000 with proof before a response': `HTTP/1.1 000 OK\r\n${OWN_HEADERS}\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n`,
+  'status 099 with proof': `HTTP/1.1 099 OK\r\n${OWN_HEADERS}Content-Length: 0\r\n\r\n`,
+  'status 600 with proof': `HTTP/1.1 600 OK\r\n${OWN_HEADERS}Content-Length: 2\r\n\r\nok`,
+  'status 999 with proof': `HTTP/1.1 999 OK\r\n${OWN_HEADERS}Content-Length: 2\r\n\r\nok`,
   'interim responses': 'HTTP/1.1 100 Continue\r\n\r\n'.repeat(2000),
 };
 
+/** Statuses that an entry may answer with. */
+const ANSWER_STATUSES: readonly number[] = [200, 502, 503, 504];
+
 type Answer = { readonly status: number; readonly tookMs: number };
 
 describe('a built entry whose server sends bytes that are no response', () => {
@@ -81,7 +92,10 @@
     faulty = createServer((socket) => {
       socket.on('error', () => undefined);
       // Slower than the sound server, which would get no request otherwise.
-      socket.on('data', () => setTimeout(() => socket.write(head), 60));
+      socket.on('data', (chunk) => {
+        const id = /x-request-id: (\S+)/i.exec(chunk.toString('latin1'))?.[1] ?? '';
+        setTimeout(() => socket.write(head.replaceAll('ID', id)), 60);
+      });
     });
     faulty.listen(0, '127.0.0.1');
     await Promise.all([once(faulty, 'listening'), sound.listen()]);
@@ -120,6 +134,8 @@
       const slowest = Math.max(...answers.map(({ tookMs }) => tookMs));
       expect(slowest).to.be.below(TIMEOUT_MS + MAX_LATE_MS);
       expect(answers.some(({ status }) => status === 200)).to.equal(true);
+      // A status that HTTP does not define must not reach a caller.
+      expect(ANSWER_STATUSES).to.include.members(answers.map(({ status }) => status));
       const probes = await Promise.all(questions);
       expect(probes.every(({ status }) => status === 200)).to.equal(true);
       expect(Math.max(...probes.map(({ tookMs }) => tookMs))).to.be.below(MAX_LATE_MS);
--- a/proxy/_sending.ts
+++ b/proxy/_sending.ts
@@ -19,9 +19,13 @@
   readonly discard: (connection: Connection) => void;
 };
 
+const FIRST_INTERIM_STATUS = 100;
+
 /** Lower statuses are interim (1xx) responses. */
 const FIRST_FINAL_STATUS = 200;
 
+const LAST_STATUS = 599;
+
 const doNothing = (): void => undefined;
 
 /**
@@ -122,6 +126,10 @@
         },
         onHeaders: (status, headers, resumeBody, statusText) => {
           this.#resumeBody = resumeBody;
+          if (status < FIRST_INTERIM_STATUS || status > LAST_STATUS) {
+            this.#fail(new Error(`HTTP does not define the status ${status} of the response`));
+            return false;
+          }
           if (this.#isFinished || status < FIRST_FINAL_STATUS) return true;
           const raw = (headers ?? []).map((part) => part.toString('latin1'));
           if (events.head(status, raw, statusText)) return true;
