Send entries large records once and deflated

Cause: a transfer was repeated before it could have ended. An entry that is behind says so every 400 ms, and each neighbour sent the whole record each time, 350 KB over links of 14 Mbit/s. Digests behind it came too late, links were closed as silent, and all began anew.

Records that are on their way on a connection are now sent again only if the receiver stands still for 1.5 s, and large values are deflated once for all receivers; builds that do not say that they inflate get plain ones. Two counters show what is sent.

--- a/programs/serving/_startPeers.ts
+++ b/programs/serving/_startPeers.ts
@@ -39,7 +39,7 @@
   readonly services: PeerServices;
   /** Returns the mean event-loop lag of this process. */
   readonly lagMs: () => Milliseconds;
-} & Pick<PeerTaskOptions, 'readers' | 'removalGraceUntil' | 'onUpdate'>;
+} & Pick<PeerTaskOptions, 'metrics' | 'readers' | 'removalGraceUntil' | 'onUpdate'>;
 
 /** Peers of an entry on a host without a gossip address. */
 export const NO_PEERS: Peers = {
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -158,6 +158,7 @@
   peers = await startPeers({
     settings,
     log,
+    metrics,
     mirrors: records.mirrors,
     shared: gateway.sharedStates,
     services: gateway.peerServices,
--- a/tasks/gateway/_peerMessages.ts
+++ b/tasks/gateway/_peerMessages.ts
@@ -10,10 +10,14 @@
 // Neither negative nor infinite, which would issue tokens without end.
 const tokensSchema = z.number().check(z.nonnegative(), z.maximum(Number.MAX_SAFE_INTEGER));
 
+const bytesSchema = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
+
 const recordSchema = z.object({
   key: z.string(),
   // Absent if the record was removed.
-  value: z.optional(z.custom<Uint8Array>((value) => value instanceof Uint8Array)),
+  value: z.optional(bytesSchema),
+  // In the place of a large value, if the receiver accepts it.
+  deflated: z.optional(bytesSchema),
   revision: z.number(),
 });
 
@@ -136,6 +140,8 @@
   capacities: z.optional(z.readonly(z.array(countSchema))),
   // Revisions of the sender's mirrors, by key prefix.
   asOf: revisionsSchema,
+  // Whether the sender accepts deflated values of records; absent from older builds.
+  inflates: z.optional(z.boolean()),
   // Availability zone of the sender; this and the next three are absent from older builds, and from entries
   // that all read the store.
   zone: z.optional(z.string()),
@@ -149,18 +155,27 @@
   ...factSchemas,
 });
 
+/** Records that the receiver lacks. */
+const newsSchema = z.object({
+  kind: z.literal('news'),
+  prefix: z.string(),
+  news: updateSchema,
+  // Time left within which removed records may return, since the store had an outage.
+  removalGraceMs: z.optional(z.number().check(z.nonnegative())),
+});
+
+/** Asks for the changes after the revisions of the sender. */
+const wantSchema = z.object({
+  kind: z.literal('want'),
+  asOf: revisionsSchema,
+  inflates: z.optional(z.boolean()),
+});
+
 const peerMessageSchema = z.discriminatedUnion('kind', [
   digestSchema,
-  z.object({
-    kind: z.literal('news'),
-    prefix: z.string(),
-    news: updateSchema,
-    // Time left within which removed records may return, since the store had an outage.
-    removalGraceMs: z.optional(z.number().check(z.nonnegative())),
-  }),
+  newsSchema,
   toldSchema,
-  // Asks for the changes after the revisions of the sender.
-  z.object({ kind: z.literal('want'), asOf: revisionsSchema }),
+  wantSchema,
   z.object({ kind: z.literal('proof'), proof: proofSchema }),
   permitRequestSchema,
   permitAnswerSchema,
@@ -179,6 +194,12 @@
 /** A digest of what an entry knows. */
 export type DigestMessage = Extract<PeerMessage, { readonly kind: 'digest' }>;
 
+/** Records that the receiver lacks. */
+export type NewsMessage = Extract<PeerMessage, { readonly kind: 'news' }>;
+
+/** Revisions of the mirrors of an entry, by key prefix. */
+export type Revisions = DigestMessage['asOf'];
+
 /** What an entry tells its neighbours of its mirrors and of a store reader. */
 export type ToldMessage = Extract<PeerMessage, { readonly kind: 'told' }>;
 
--- a/tasks/gateway/peerTask.ts
+++ b/tasks/gateway/peerTask.ts
@@ -3,11 +3,14 @@
 import type { MirrorUpdate, RecordMirror } from '../../core/mirror/mod.ts';
 import type { Reach } from '../../core/serverLimits/mod.ts';
 import type { Log } from '../../log/mod.ts';
+import type { Metrics } from '../../metrics/mod.ts';
 import { ReconnectingLinks } from '../links/mod.ts';
 import type { Accept, Dial } from '../ports/mod.ts';
 import { repeatSteps } from '../_repeatSteps.ts';
 import { decodePeerMessage, encodePeerMessage } from './_peerMessages.ts';
-import type { DigestMessage, PeerMessage } from './_peerMessages.ts';
+import type { DigestMessage } from './_peerMessages.ts';
+import { RecordNews } from './_recordNews.ts';
+import type { SentNews } from './_recordNews.ts';
 import type { OriginTask } from './originTask.ts';
 import type { PermitTask } from './permitTask.ts';
 import { chooseLinks } from './storeReaderTask.ts';
@@ -59,6 +62,8 @@
   readonly clock: Clock;
   readonly dial: Dial;
   readonly log: Log;
+  /** @default counts nothing */
+  readonly metrics?: Pick<Metrics, 'count'> | undefined;
   /** Returns the mean event-loop lag of this process. */
   readonly lagMs: () => Milliseconds;
   /** Share of a processor core that this process gets; 0 if unknown. @default 0 */
@@ -105,6 +110,19 @@
 
 const NO_CHANGES: SharedChanges = { quarantine: 0, requests: 0, limits: 0, notices: 0 };
 
+/** The connection that a message came on. */
+type MessageOrigin = {
+  readonly send: (bytes: Uint8Array) => void;
+  /** Records that were last sent on it. */
+  readonly sentNews: SentNews;
+  /**
+   * Sends a digest; absent on own links, whose peer expects none in reply.
+   *
+   * @param probe Number that the peer has sent, to be returned with a proof of freshness.
+   */
+  readonly sendDigest?: (probe: number | undefined) => void;
+};
+
 /**
  * Gossip between entries: spreads membership, event-loop lags and the newest store records.
  *
@@ -136,20 +154,35 @@
   /** Changes of the shared state that were last sent on the link to an address. */
   readonly #sentChanges = new Map<string, SharedChanges>();
 
+  /** Records that were last sent on the link to an address. */
+  readonly #sentNews = new Map<string, SentNews>();
+
+  readonly #news: RecordNews;
+
   constructor(options: PeerTaskOptions) {
     this.#options = options;
     this.#seeds = options.seeds;
     const { address: own, cpuShare = 0 } = options;
     this.#capacities.set(own, Math.round(cpuShare * CAPACITY_PER_CORE));
+    this.#news = new RecordNews({
+      ...options,
+      // An entry that reads the store knows by its own calls whether removed records may return.
+      removalGraceUntil: (prefix) =>
+        options.readers?.isActive ? options.removalGraceUntil?.(prefix) : undefined,
+    });
     this.#links = new ReconnectingLinks({
       clock: options.clock,
       dial: options.dial,
       onOpen: (address) => {
         this.#sentChanges.delete(address);
+        this.#sentNews.set(address, new Map());
         this.#sendDigest(address);
       },
       onMessage: (address, bytes) =>
-        this.#receive(bytes, (reply) => this.#links.send(address, reply)),
+        this.#receive(bytes, {
+          send: (reply) => this.#links.send(address, reply),
+          sentNews: this.#sentNews.get(address) ?? new Map(),
+        }),
       onLost: (address, reason) => options.log('peerLost', { address, reason }),
     });
   }
@@ -195,13 +228,17 @@
   /** Accepts links from other entries. */
   readonly accept: Accept = (connection) => {
     let sent = NO_CHANGES;
-    const sendDigest = (probe: number | undefined): void => {
-      connection.send(this.#digest(sent, probe));
-      sent = this.#changes;
+    const origin: MessageOrigin = {
+      send: (reply) => connection.send(reply),
+      sentNews: new Map(),
+      sendDigest: (probe) => {
+        connection.send(this.#digest(sent, probe));
+        sent = this.#changes;
+      },
     };
     return {
       opened: () => undefined,
-      received: (bytes) => this.#receive(bytes, (reply) => connection.send(reply), sendDigest),
+      received: (bytes) => this.#receive(bytes, origin),
       closed: () => undefined,
     };
   };
@@ -305,6 +342,7 @@
       members: members.map((member) => [member, now - (this.#members.get(member) ?? now)] as const),
       capacities: [address, ...members].map((member) => this.capacityOf(member)),
       asOf: Object.fromEntries([...mirrors].map(([prefix, mirror]) => [prefix, mirror.asOf])),
+      inflates: true,
       quarantine: shared.quarantine.updateSince(known.quarantine, now),
       requests: shared.requests.updateSince(known.requests, now),
       limits: shared.limits.updateSince(known.limits, now),
@@ -313,27 +351,20 @@
     });
   }
 
-  /**
-   * Handles a message; on accepted links the peer expects a digest in reply to its own, sent by
-   * `sendDigest`.
-   */
-  #receive(
-    bytes: Uint8Array,
-    reply: (bytes: Uint8Array) => void,
-    sendDigest?: (probe: number | undefined) => void,
-  ): void {
+  #receive(bytes: Uint8Array, origin: MessageOrigin): void {
     const message = decodePeerMessage(bytes);
     if (message === undefined) {
       this.#options.log('messageUnreadable', { from: 'an entry', bytes: bytes.length });
       return;
     }
     const { services, readers } = this.#options;
+    const { send: reply, sentNews: sent } = origin;
     switch (message.kind) {
       case 'digest':
-        this.#receiveDigest(message, reply, sendDigest);
+        this.#receiveDigest(message, origin);
         return;
       case 'news':
-        this.#receiveNews(message);
+        this.#news.receive(message);
         return;
       case 'permit-request':
         services.permits.handleRequest(message, reply);
@@ -350,7 +381,7 @@
         readers?.noteTold(message, reply);
         return;
       case 'want':
-        this.#sendNews(message.asOf, reply);
+        this.#news.send({ ...message, sent, send: reply });
         return;
       case 'proof':
         readers?.noteProof(message);
@@ -360,18 +391,9 @@
     }
   }
 
-  #receiveNews(message: Extract<PeerMessage, { readonly kind: 'news' }>): void {
-    const { since, records, asOf } = message.news;
-    const { removalGraceMs } = message;
-    const graceUntil =
-      removalGraceMs === undefined ? undefined : this.#options.clock.now() + removalGraceMs;
-    this.#options.onUpdate(message.prefix, { since, records, asOf }, graceUntil);
-  }
-
   #receiveDigest(
     message: DigestMessage,
-    reply: (bytes: Uint8Array) => void,
-    sendDigest: ((probe: number | undefined) => void) | undefined,
+    { send, sentNews: sent, sendDigest }: MessageOrigin,
   ): void {
     const { address, clock } = this.#options;
     const now = clock.now();
@@ -385,9 +407,9 @@
     });
     this.#noteCapacities(message);
     this.#maxKnownEntries = Math.max(this.#maxKnownEntries ?? 0, this.#members.size + 1);
-    this.#sendNews(message.asOf, reply);
+    this.#news.send({ ...message, sent, send });
     SHARED_KINDS.forEach((kind) => this.#applyShared(kind, message[kind], now));
-    this.#options.readers?.noteDigest(message, reply, sendDigest !== undefined);
+    this.#options.readers?.noteDigest(message, send, sendDigest !== undefined);
     sendDigest?.(message.probe);
   }
 
@@ -399,19 +421,6 @@
     });
   }
 
-  /** Sends the changes of the mirrors after the revisions of the receiver. */
-  #sendNews(known: DigestMessage['asOf'], reply: (bytes: Uint8Array) => void): void {
-    const { mirrors, clock, readers, removalGraceUntil } = this.#options;
-    mirrors.forEach((mirror, prefix) => {
-      const update = mirror.updateSince(known[prefix]);
-      if (update === undefined) return;
-      // An entry that reads the store knows by its own calls whether removed records may return.
-      const until = readers?.isActive ? removalGraceUntil?.(prefix) : undefined;
-      const grace = until === undefined ? {} : { removalGraceMs: Math.max(0, until - clock.now()) };
-      reply(encodePeerMessage({ kind: 'news', prefix, news: update, ...grace }));
-    });
-  }
-
   #applyShared<Kind extends SharedKind>(
     kind: Kind,
     update: DigestMessage[Kind],
--- a/tasks/gateway/storeReaderTask.ts
+++ b/tasks/gateway/storeReaderTask.ts
@@ -5,7 +5,13 @@
 import type { Log } from '../../log/mod.ts';
 import { repeatSteps } from '../_repeatSteps.ts';
 import { encodePeerMessage } from './_peerMessages.ts';
-import type { DigestMessage, PeerMessage, ProofMessage, ToldMessage } from './_peerMessages.ts';
+import type {
+  DigestMessage,
+  PeerMessage,
+  ProofMessage,
+  Revisions,
+  ToldMessage,
+} from './_peerMessages.ts';
 import type { Mirrors } from './peerTask.ts';
 
 /** Options of `StoreReaderTask`. */
@@ -55,8 +61,6 @@
 /** The same while every entry reads by itself. */
 const INACTIVE_INTERVAL_MS: Milliseconds = 400;
 
-type Revisions = Readonly<Record<string, number | undefined>>;
-
 /** An entry at the other end of a link, whichever of the two has opened it. */
 type Neighbour = {
   readonly send: (bytes: Uint8Array) => void;
@@ -296,7 +300,7 @@
     });
     if (!this.isActive || !isBehind) return;
     this.#wanted = { at: now, asOf };
-    send(encodePeerMessage({ kind: 'want', asOf: this.#revisions }));
+    send(encodePeerMessage({ kind: 'want', asOf: this.#revisions, inflates: true }));
   }
 
   #isAheadOf(asOf: Revisions): boolean {
--- a/tasks/gateway/testing/fakeNetwork.ts
+++ b/tasks/gateway/testing/fakeNetwork.ts
@@ -14,6 +14,9 @@
   /** Time that messages wait at processes until they are handled, as with long turns of an event loop. @default 0 */
   readonly handlingDelays = new Map<string, Milliseconds>();
 
+  /** Bytes that the link of a process carries each way in a millisecond. @default without a bound */
+  linkBytesPerMs = Infinity;
+
   /** Names the group of a process while groups are partitioned from each other. */
   groupOf: ((address: string) => string) | undefined;
 
@@ -24,6 +27,9 @@
   /** What paused processes will run when they go on. */
   readonly #paused = new Map<string, (() => void)[]>();
 
+  /** When the links of processes are free again, by direction and address, parted by a space. */
+  readonly #linkFreeAt = new Map<string, Milliseconds>();
+
   /** Bytes sent so far, by sender and receiver, parted by a space. */
   readonly sentBytes = new Map<string, number>();
 
@@ -41,8 +47,15 @@
         if (this.isStopped(from)) return;
         const pair = `${from} ${to}`;
         this.sentBytes.set(pair, (this.sentBytes.get(pair) ?? 0) + bytes);
-        this.clock.schedule(1 + (this.handlingDelays.get(to) ?? 0), () => {
-          if (!this.#isApart(own, address)) this.whenRunning(to, run);
+        const transferMs = this.transfer(`out ${from}`, bytes);
+        this.clock.schedule(1 + transferMs, () => {
+          const receiveMs = this.transfer(`in ${to}`, bytes);
+          const deliverRest = (): void => {
+            if (!this.#isApart(own, address)) this.whenRunning(to, run);
+          };
+          const delayMs = receiveMs + (this.handlingDelays.get(to) ?? 0);
+          if (delayMs === 0) deliverRest();
+          else this.clock.schedule(delayMs, deliverRest);
         });
       };
       if (accept === undefined || this.isStopped(address)) {
@@ -62,6 +75,18 @@
     };
   }
 
+  /**
+   * Puts bytes on one direction of a link, behind those that are on it. Returns the time until they are through.
+   *
+   * @param link Direction and address, parted by a space.
+   */
+  transfer(link: string, bytes: number): Milliseconds {
+    const now = this.clock.now();
+    const freeAt = Math.max(now, this.#linkFreeAt.get(link) ?? now) + bytes / this.linkBytesPerMs;
+    this.#linkFreeAt.set(link, freeAt);
+    return freeAt - now;
+  }
+
   /**
    * Returns the monotonic clock of the process at an address; its calls wait while the process is paused.
    *
--- a/tasks/gateway/testing/readerWorld.ts
+++ b/tasks/gateway/testing/readerWorld.ts
@@ -31,6 +31,12 @@
   origins: { handleMessage: (): void => undefined },
 };
 
+/** Bytes of records as the store encodes them. */
+function encodedBytes(records: readonly MirroredRecord[]): number {
+  const valueBytes = records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+  return Math.ceil((valueBytes * 4) / 3);
+}
+
 /** A change of the store, and when it was acknowledged. */
 type Change = MirroredRecord & { readonly at: Milliseconds };
 
@@ -219,6 +225,13 @@
     return change?.revision ?? 0;
   }
 
+  /** Returns when the first change under a prefix after a revision was acknowledged; `undefined` if there is none. */
+  changedAfter(prefix: string, revision: number): Milliseconds | undefined {
+    return this.#changes.find(
+      (change) => change.key.startsWith(prefix) && change.revision > revision,
+    )?.at;
+  }
+
   /** Returns a pseudo-random number from 0 to 1; the same ones in each run. */
   random(): number {
     this.#random = (this.#random * 48_271) % 2_147_483_647;
@@ -269,9 +282,14 @@
             this.#hasResolved = true;
             run();
           });
-        const respond = (run: () => void): void => {
+        const respond = (run: () => void, bytes = 0): void => {
           this.network.clock.schedule(1 + this.random() * 4, () => {
-            if (!this.#isStoreless(address)) settle(run);
+            const deliver = (): void => {
+              if (!this.#isStoreless(address)) settle(run);
+            };
+            const transferMs = this.network.transfer(`in ${address}`, bytes);
+            if (transferMs === 0) deliver();
+            else this.network.clock.schedule(transferMs, deliver);
           });
         };
         this.network.clock.schedule(timeoutMs, () => settle(() => reject(new Error('timeout'))));
@@ -287,7 +305,7 @@
             if (this.isStoreDown) respond(() => reject(new Error('503')));
             else if (records.length > 0 || after === undefined || this.now >= expireAt) {
               const revision = this.#revision;
-              respond(() => resolve({ records, revision }));
+              respond(() => resolve({ records, revision }), encodedBytes(records));
             } else this.#watchers.push(check);
           };
           check();
