Decode only the latest of several changes of one record

A host that could not read for a while, or was short of processor time, got all versions of the configuration in one response and decoded each: 12 ms a version with 1,550 routes on a whole core, over 60 ms on 0.184 of one (measured by hand).

Peers tell only the latest already.

--- a/core/mirror/recordMirror.test.ts
+++ b/core/mirror/recordMirror.test.ts
@@ -29,6 +29,14 @@
     expect(mirror.asOf).to.equal(10);
   });
 
+  // Guards against decoding each of many versions of a large record that come together.
+  it('reports a record that changed several times once, as it is now', () => {
+    const mirror = mirrorOf(10, record('a', 9));
+    const records = [record('a', 11), record('b', 12), record('a', 13)];
+    const changed = mirror.apply({ since: 10, records, asOf: 13 });
+    expect(changed).to.have.deep.members([record('a', 13), record('b', 12)]);
+  });
+
   it('reports records that are missing from a newer snapshot as removed', () => {
     const mirror = mirrorOf(10, record('a', 9), record('b', 5));
     const changed = mirror.apply({ since: undefined, records: [record('b', 5)], asOf: 20 });
--- a/core/mirror/recordMirror.ts
+++ b/core/mirror/recordMirror.ts
@@ -18,6 +18,14 @@
 /** Removals to keep, so that mirrors that are behind receive them as changes. */
 const MAX_TOMBSTONES = 500;
 
+function latestOfEachKey(records: readonly MirroredRecord[]): readonly MirroredRecord[] {
+  const latest = new Map<string, MirroredRecord>();
+  records.forEach((record) => {
+    if (record.revision >= (latest.get(record.key)?.revision ?? 0)) latest.set(record.key, record);
+  });
+  return [...latest.values()];
+}
+
 /**
  * A mirror of the store's records under one key prefix, as of one revision.
  *
@@ -59,7 +67,7 @@
     }
     // Changes after a position of an earlier era would miss what the store has lost.
     if (update.since !== undefined && eraOf(update.since) < eraOf(update.asOf)) return undefined;
-    const changed = update.records.filter((record) => this.#isNewer(record));
+    const changed = latestOfEachKey(update.records).filter((record) => this.#isNewer(record));
     const removed = update.since === undefined ? this.#removalsIn(update) : [];
     if (update.since === undefined) {
       this.#historyStart = update.asOf;
