Use the blocks of bodies that are broken off again

Cause: blocks went back to the free ones only when a body was refused or taken. Those of a connection that closed before were dropped, at more than the collector frees, while the limiter no longer counted them; so were all free ones above 16 MB.

The blocks of a body are released when its connection closes, on both interfaces, and free ones beyond 16 MB are dropped little by little. There are never more blocks than bodies have held at once, which the limiter bounds.

--- a/http/readBody.ts
+++ b/http/readBody.ts
@@ -42,14 +42,12 @@
     const body = new RequestBody();
     let size = 0;
     const settle = (result: BodyResult): void => {
+      body.clear();
       request.removeAllListeners('data');
       request.resume();
       resolve(result);
     };
-    const reading = limiter?.read(request, () => {
-      body.clear();
-      settle({ kind: 'refused' });
-    });
+    const reading = limiter?.read(request, () => settle({ kind: 'refused' }));
     request.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size <= limitBytes) body.append(chunk);
--- a/http/requestBody.ts
+++ b/http/requestBody.ts
@@ -1,12 +1,34 @@
+import type { Milliseconds } from '../core/clock/mod.ts';
+
 const SMALL_BLOCK_BYTES = 4096;
 
 const BLOCK_BYTES = 65_536;
 
-const MAX_FREE_BLOCKS = 256;
+/** Free blocks that are kept for later bodies. */
+const MAX_IDLE_BLOCKS = 256;
+
+/** Share of the further ones that is dropped in a second, so that they are collected in time. */
+const DROPPED_SHARE = 0.125;
+
+const DROP_INTERVAL_MS: Milliseconds = 1000;
 
-/** Blocks that are not in use: dropped ones would take memory until they are collected. */
+/** Blocks that are not in use. There are no more than bodies have held at once. */
 const freeBlocks: Buffer[] = [];
 
+let dropTimer: NodeJS.Timeout | undefined;
+
+/** Drops free blocks little by little: as many as bodies release would take memory until they are collected. */
+function scheduleDrop(): void {
+  if (dropTimer !== undefined || freeBlocks.length <= MAX_IDLE_BLOCKS) return;
+  dropTimer = setTimeout(() => {
+    dropTimer = undefined;
+    const excess = freeBlocks.length - MAX_IDLE_BLOCKS;
+    if (excess > 0) freeBlocks.splice(-Math.ceil(excess * DROPPED_SHARE));
+    scheduleDrop();
+  }, DROP_INTERVAL_MS);
+  dropTimer.unref();
+}
+
 /**
  * The body of a request that arrives in chunks, in blocks of a fixed size. A chunk takes no memory beyond its
  * bytes, however small it is, and a body little more than its length.
@@ -59,8 +81,8 @@
   /** Drops the body. */
   clear(): void {
     // The first block may be a chunk that others use.
-    const blocks = this.#blocks.slice(1).filter(({ length }) => length === BLOCK_BYTES);
-    freeBlocks.push(...blocks.slice(0, MAX_FREE_BLOCKS - freeBlocks.length));
+    freeBlocks.push(...this.#blocks.slice(1).filter(({ length }) => length === BLOCK_BYTES));
+    scheduleDrop();
     this.#blocks = [];
     this.#used = 0;
     this.#heldBytes = 0;
--- a/programs/testing/crowd.ts
+++ b/programs/testing/crowd.ts
@@ -24,6 +24,8 @@
   readonly repeat: (target: CrowdTarget) => Buffer;
   /** How often it sends that. @default until the time is over */
   readonly times?: number;
+  /** What it sends last, and again on a new connection once this one is closed. @default nothing */
+  readonly end?: string;
 };
 
 const LINE = '\r\n';
@@ -43,6 +45,13 @@
 
 const CHUNKED = 'Transfer-Encoding: chunked';
 
+/** The chunks of a large body without the last one. */
+const LARGE_CHUNKS = Buffer.from(
+  `${PIECE_BYTES.toString(16)}${LINE}${'a'.repeat(PIECE_BYTES)}${LINE}`.repeat(
+    Math.floor(BODY_BYTES / PIECE_BYTES),
+  ),
+);
+
 /** Clients whose requests never end, or stop just short of their end. */
 export const CROWDS: Readonly<Record<string, Crowd>> = {
   'requests pipelined without end': {
@@ -69,6 +78,13 @@
     repeat: () => Buffer.from(`1${LINE}a${LINE}`.repeat(TINY_CHUNKS_PER_PIECE)),
     times: 120,
   },
+  'bodies in large chunks that end in an invalid one': {
+    clients: 800,
+    begin: (target) => beginBody(target, CHUNKED),
+    repeat: () => LARGE_CHUNKS,
+    times: 1,
+    end: `no chunk${LINE}`,
+  },
   'heads without end': {
     clients: 60,
     begin: ({ path }) => `GET ${path} HTTP/1.1${LINE}`,
@@ -107,7 +123,7 @@
 
 /** Sends on one connection; resolves when it is closed, or all is sent and it stays open. */
 async function sendOn(socket: Socket, crowd: Crowd, target: CrowdTarget): Promise<void> {
-  const { begin, repeat, times = Infinity } = crowd;
+  const { begin, repeat, times = Infinity, end } = crowd;
   const bytes = repeat(target);
   socket.write(begin(target));
   for (let count = 0; count < times && !socket.destroyed; count += 1) {
@@ -115,6 +131,7 @@
     if (canWrite) await sleep(0);
     else await waitFor(socket, 'drain');
   }
+  if (end !== undefined) socket.write(end);
 }
 
 /**
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -225,7 +225,9 @@
     response.sendDate = false;
     this.#openRequests += 1;
     let isOpen = true;
+    const body = new RequestBody();
     const handleClose = (): void => {
+      body.clear();
       response.off('close', handleClose);
       request.socket.off('close', handleClose);
       // The close of the socket is what closes the response, and both call this.
@@ -235,13 +237,13 @@
     response.once('close', handleClose);
     request.socket.once('close', handleClose);
     this.#rejectEarlyWithoutBody(request, response);
-    const body = new RequestBody();
     const reading = this.#limiter.read(request, () => {
       body.clear();
       refuseRequest(request, response);
     });
     let size = 0;
     request.on('data', (chunk: Buffer) => {
+      if (!isOpen) return;
       size += chunk.length;
       if (response.headersSent) {
         // The rest of the body of a rejected request is discarded, up to the limit.
