--- a/programs/testing/crowd.ts
+++ b/programs/testing/crowd.ts
@@ -45,6 +45,8 @@
 
 const CHUNKED = 'Transfer-Encoding: chunked';
 
+const TINY_CHUNKS = Buffer.from(`1${LINE}a${LINE}`.repeat(TINY_CHUNKS_PER_PIECE));
+
 /** The chunks of a large body without the last one. */
 const LARGE_CHUNKS = Buffer.from(
   `${PIECE_BYTES.toString(16)}${LINE}${'a'.repeat(PIECE_BYTES)}${LINE}`.repeat(
@@ -75,7 +77,7 @@
   'bodies in chunks of a byte that stop short of their end': {
     clients: 60,
     begin: (target) => beginBody(target, CHUNKED),
-    repeat: () => Buffer.from(`1${LINE}a${LINE}`.repeat(TINY_CHUNKS_PER_PIECE)),
+    repeat: () => TINY_CHUNKS,
     times: 120,
   },
   'bodies in large chunks that end in an invalid one': {
@@ -85,6 +87,12 @@
     times: 1,
     end: `no chunk${LINE}`,
   },
+  'bodies in chunks of a byte from many clients': {
+    clients: 800,
+    begin: (target) => beginBody(target, CHUNKED),
+    repeat: () => TINY_CHUNKS,
+    times: 120,
+  },
   'heads without end': {
     clients: 60,
     begin: ({ path }) => `GET ${path} HTTP/1.1${LINE}`,
