Repeat records to an entry that took a part of them and stands still

An entry that had advanced, and then lacked the rest, was taken for one that advances as long as this entry had nothing new for it; it was not sent the rest again before the next change. What is on its way is now recorded with each message.

--- a/tasks/gateway/_recordNews.test.ts
+++ b/tasks/gateway/_recordNews.test.ts
@@ -72,6 +72,17 @@
     expect(sent.map((message) => message.news.since)).to.deep.equal([1, 2]);
     clock.advanceTo(clock.now() + 500);
     news.send({ ...receiver, asOf: { 'op/': 2 } });
+    expect(sent).to.have.length(3);
+    put(5);
+    put(6);
+    news.send({ ...receiver, asOf: { 'op/': 2 } });
+    // It has advanced by a part, and then stands still.
+    [1000, 1000, 1000].forEach((ms) => {
+      clock.advanceTo(clock.now() + ms);
+      news.send({ ...receiver, asOf: { 'op/': 5 } });
+    });
+    expect(sent.slice(3).map((message) => message.news.since)).to.deep.equal([3, 5]);
+    sent.splice(3);
     expect(sent.map((message) => message.news.since)).to.deep.equal([1, 2, 2]);
   });
 
--- a/tasks/gateway/_recordNews.ts
+++ b/tasks/gateway/_recordNews.ts
@@ -73,9 +73,9 @@
       const since = hasAdvanced || !isOnTheWay ? now : last.since;
       const isRepeated = !isOnTheWay || now - since >= REPEAT_AFTER_MS;
       const update = mirror.updateSince(isRepeated ? receiver.asOf[prefix] : last.asOf);
-      if (update === undefined) return;
-      receiver.sent.set(prefix, { asOf: update.asOf, known, since: isRepeated ? now : since });
-      this.#sendUpdate(receiver, prefix, update);
+      const asOf = update?.asOf ?? Math.max(known, last?.asOf ?? known);
+      receiver.sent.set(prefix, { asOf, known, since: isRepeated ? now : since });
+      if (update !== undefined) this.#sendUpdate(receiver, prefix, update);
     });
   }
 
