Tell callers that are refused while issuers start when tokens are issued

What callers saw after all entries had lost power: 429 with the cause issuer-starting for every key, and a Retry-After of 0.1 s at first, up to 4 s later on. The first came back before any issuer was ready and were refused again, the others seconds after it was.

Cause: an issuer that warms up answered that it does not issue, but not until when, and whoever asked spread the refused callers by the supply of the moment, which is none. It also passed that issuer over for a second, whenever it was ready.

The answer now carries the rest of the warm-up; refused callers come back from then on, spread by an equal share of the limit for each entry, and the issuer is asked again then.

The new test of the simulation fails before: 54 callers come back while none issues.

--- a/core/tokenLimits/leaseMessages.ts
+++ b/core/tokenLimits/leaseMessages.ts
@@ -27,6 +27,6 @@
   readonly tokens: number;
   /** Whether fewer tokens were issued than wanted. */
   readonly isShort: boolean;
-  /** Expected time until the tokens needed are available. */
+  /** Expected time until the tokens needed are available, or until the entry issues tokens. */
   readonly waitMs: Milliseconds;
 };
--- a/core/tokenLimits/tokenLimitHolder.ts
+++ b/core/tokenLimits/tokenLimitHolder.ts
@@ -89,7 +89,7 @@
 /** Time within which an issuer that was passed over may still answer. */
 const LATE_ANSWER_MAX_AGE_MS: Milliseconds = 1000;
 
-/** Time for which an issuer is passed over that did not answer, or has just started. */
+/** Longest time for which an issuer is passed over that did not answer, or has just started. */
 const PASSED_OVER_MS: Milliseconds = 1000;
 
 /** Issuers passed over for a tenant at once, after which the entry issues tokens itself. */
@@ -142,6 +142,8 @@
   readonly overdue: Map<number, Pending>;
   /** Until when no tokens are expected. */
   shortUntil: Milliseconds;
+  /** Until when issuers that have just started issue nothing. */
+  startingUntil: Milliseconds;
   wasShortAt: Milliseconds;
   /** Why no tokens were issued last. */
   shortageCause: TokenRefusalCause;
@@ -175,17 +177,23 @@
   return true;
 }
 
-/** Refuses a request; those refused get different times, as many as tokens come in by then. */
+/**
+ * Refuses a request; those refused get different times, as many as tokens come in by then.
+ *
+ * @param leastShare Least supply that is assumed, as a share of the limit.
+ */
 function refuse(
   state: TenantState,
   tokens: number,
   cause: TokenRefusalCause,
   now: Milliseconds,
+  leastShare = LEAST_SUPPLY_SHARE,
 ): TokenRefusal {
   state.refusedTokens += tokens;
   const { perSecond } = state.plan;
-  const supply = Math.max(1, state.supply.perSecond(now), perSecond * LEAST_SUPPLY_SHARE);
-  const first = Math.max(now + MIN_RETRY_AFTER_MS, state.shortUntil);
+  const supply = Math.max(1, state.supply.perSecond(now), perSecond * leastShare);
+  const expectedAt = cause === 'issuer-starting' ? state.startingUntil : state.shortUntil;
+  const first = Math.max(now + MIN_RETRY_AFTER_MS, expectedAt);
   // Where more were refused than the longest delay has room for, further ones share the same times.
   const isFull = state.nextReturnAt > now + MAX_RETRY_AFTER_MS;
   const returnAt = isFull ? first : Math.max(first, state.nextReturnAt);
@@ -240,7 +248,7 @@
     // The issuer that stands in says nothing about the tokens that the first one may still issue.
     const mayGetLate = state.overdue.size > 0 && state.shortageCause !== 'limit';
     if (!mayGetLate && (state.pending === undefined || now < state.shortUntil)) {
-      return refuse(state, tokens, state.shortageCause, now);
+      return refuse(state, tokens, state.shortageCause, now, this.#leastSupplyShare(state));
     }
     state.waitingTokens += tokens;
     return { kind: 'wait' };
@@ -290,7 +298,8 @@
     if (!isReady) {
       onLease('issuer-starting', tookMs);
       state.shortageCause = 'issuer-starting';
-      this.#passOver(request.issuer, now);
+      state.startingUntil = Math.max(state.startingUntil, now + waitMs);
+      this.#passOver(request.issuer, now, waitMs);
       if (request.issuer === this.#options.self) state.shortUntil = now + BUSY_SHORT_MS;
       return true;
     }
@@ -368,6 +377,7 @@
         pending: undefined,
         overdue: new Map(),
         shortUntil: 0,
+        startingUntil: 0,
         wasShortAt: -Infinity,
         shortageCause: 'limit',
         nextReturnAt: 0,
@@ -387,6 +397,12 @@
     return state;
   }
 
+  #leastSupplyShare({ shortageCause }: TenantState): number {
+    if (shortageCause !== 'issuer-starting') return LEAST_SUPPLY_SHARE;
+    // Once its issuer has started, each entry gets about an equal share of the limit.
+    return Math.max(LEAST_SUPPLY_SHARE, 1 / (this.#options.peers().length + 1));
+  }
+
   #askInAdvance(tenant: string, state: TenantState, now: Milliseconds): void {
     if (state.pending !== undefined) return;
     const held = state.leases.tokens(now);
@@ -439,9 +455,9 @@
     return Math.min(MAX_PATIENCE_MS, Math.max(MIN_PATIENCE_MS, expectedMs));
   }
 
-  #passOver(issuer: string, now: Milliseconds): void {
+  #passOver(issuer: string, now: Milliseconds, forMs: Milliseconds = PASSED_OVER_MS): void {
     if (issuer !== this.#options.self) {
-      this.#passedOverUntil.set(issuer, now + PASSED_OVER_MS);
+      this.#passedOverUntil.set(issuer, now + Math.min(PASSED_OVER_MS, forMs));
     }
   }
 
--- a/core/tokenLimits/tokenLimitIssuer.ts
+++ b/core/tokenLimits/tokenLimitIssuer.ts
@@ -80,9 +80,10 @@
     const fleet = this.#options.fleet();
     const known = this.#fleetShare.knownCount(fleet, now);
     const limit = this.#options.limitOf(tenant);
-    const isWarmingUp = known > 1 && now - this.#options.startedAt < WARM_UP_MS;
-    if (limit === undefined || isWarmingUp) {
-      return { number, tenant, isReady: false, tokens: 0, isShort: true, waitMs: WARM_UP_MS };
+    const warmUpMs = known > 1 ? this.#options.startedAt + WARM_UP_MS - now : 0;
+    if (limit === undefined || warmUpMs > 0) {
+      const waitMs = warmUpMs > 0 ? warmUpMs : WARM_UP_MS;
+      return { number, tenant, isReady: false, tokens: 0, isShort: true, waitMs };
     }
     const plan = planLimit(limit, this.#options.bounds);
     const order = this.#orderOf(tenant, fleet, now);
--- a/core/tokenLimits/tokenLimitSimulation.test.ts
+++ b/core/tokenLimits/tokenLimitSimulation.test.ts
@@ -376,4 +376,23 @@
     };
     expect(admittedShare(true)).to.be.above(admittedShare(false));
   });
+
+  // Callers were told to come back at once, or seconds after the issuers were ready.
+  it('are there for callers that come back after all entries have started again', () => {
+    const startedAt = 12_700;
+    const warmUpMs = 1500;
+    const { requests } = simulateTokenLimits({
+      ...DEFAULTS,
+      seed: 1,
+      callersReturn: true,
+      ends: [{ at: 12_000, entry: 'all' }],
+      tenants: [{ ...TENANT, demandAt: () => 0.5 * LIMIT.perSecond }],
+      durationMs: 20_000,
+    });
+    const after = requests.filter(({ sentAt }) => sentAt >= startedAt);
+    const returns = after.filter(({ isReturn }) => isReturn);
+    const early = returns.filter(({ sentAt }) => sentAt < startedAt + warmUpMs);
+    expect(early).to.have.length(0);
+    expect(returns.filter(({ isAdmitted }) => isAdmitted).length).to.be.above(returns.length / 2);
+  });
 });
