--- a/tasks/gateway/loadSheddingTask.ts
+++ b/tasks/gateway/loadSheddingTask.ts
@@ -32,7 +32,8 @@
 
   #isShedding = false;
 
-  #changedAt: Milliseconds;
+  /** When load shedding last started or ended; an entry that has just started may shed at once. */
+  #changedAt: Milliseconds = -Infinity;
 
   /** When the next sample is due. */
   #dueAt: Milliseconds = 0;
@@ -41,7 +42,6 @@
 
   constructor(options: LoadSheddingTaskOptions) {
     this.#options = options;
-    this.#changedAt = options.clock.now();
     options.metrics.gauge('mean_lag_ms', () => Math.round(this.#lagMs));
   }
 
