--- a/tasks/gateway/loadSheddingTask.ts
+++ b/tasks/gateway/loadSheddingTask.ts
@@ -32,8 +32,7 @@
 
   #isShedding = false;
 
-  /** When load shedding last started or ended; an entry that has just started may shed at once. */
-  #changedAt: Milliseconds = -Infinity;
+  #changedAt: Milliseconds;
 
   /** When the next sample is due. */
   #dueAt: Milliseconds = 0;
@@ -42,6 +41,7 @@
 
   constructor(options: LoadSheddingTaskOptions) {
     this.#options = options;
+    this.#changedAt = options.clock.now();
     options.metrics.gauge('mean_lag_ms', () => Math.round(this.#lagMs));
   }
 
