--- a/core/tokenLimits/tokenLimitIssuer.ts
+++ b/core/tokenLimits/tokenLimitIssuer.ts
@@ -80,9 +80,10 @@
     const fleet = this.#options.fleet();
     const known = this.#fleetShare.knownCount(fleet, now);
     const limit = this.#options.limitOf(tenant);
-    const warmUpMs = known > 1 ? this.#options.startedAt + WARM_UP_MS - now : 0;
-    if (limit === undefined || warmUpMs > 0) {
-      const waitMs = warmUpMs > 0 ? warmUpMs : WARM_UP_MS;
+    const remainingWarmUpMs = known > 1 ? this.#options.startedAt + WARM_UP_MS - now : 0;
+    if (limit === undefined || remainingWarmUpMs > 0) {
+      // Without a limit, the configuration that contains the tenant has not arrived yet.
+      const waitMs = remainingWarmUpMs > 0 ? remainingWarmUpMs : WARM_UP_MS;
       return { number, tenant, isReady: false, tokens: 0, isShort: true, waitMs };
     }
     const plan = planLimit(limit, this.#options.bounds);
