--- a/tools/verify/knownRed.ts
+++ b/tools/verify/knownRed.ts
@@ -6,6 +6,8 @@
   readonly seed: string;
   readonly seen: string;
   readonly issue: string;
+  /** Where the test passes nevertheless; absent if it always fails. */
+  readonly passes?: string;
 };
 
 /** Result of one test. */
@@ -17,7 +19,9 @@
   readonly known: readonly string[];
   /** Tests that failed and are not listed. */
   readonly unlisted: readonly string[];
-  /** Listed tests that passed or did not run. */
+  /** Listed tests that passed, as their entries say that they may. */
+  readonly unsteady: readonly string[];
+  /** Listed tests that passed without such a note, or did not run. */
   readonly stale: readonly string[];
 };
 
@@ -57,11 +61,16 @@
   listed: readonly KnownFailure[],
 ): RunSummary {
   const names = new Set(listed.map(({ test }) => test));
+  const mayPass = new Set(listed.filter(({ passes }) => passes).map(({ test }) => test));
   const failed = results.filter(({ passed }) => !passed).map(({ title }) => title);
   const failedNames = new Set(failed);
+  const unsteady = results
+    .filter(({ title, passed }) => passed && mayPass.has(title))
+    .map(({ title }) => title);
   return {
     known: failed.filter((title) => names.has(title)),
     unlisted: failed.filter((title) => !names.has(title)),
-    stale: [...names].filter((title) => !failedNames.has(title)),
+    unsteady,
+    stale: [...names].filter((title) => !failedNames.has(title) && !unsteady.includes(title)),
   };
 }
--- a/tools/verify/main.ts
+++ b/tools/verify/main.ts
@@ -57,6 +57,7 @@
   );
   const messages = new Map(report.failures.map((each) => [each.fullTitle, each.err.message ?? '']));
   summary.known.forEach((title) => print(`known red: ${title}`));
+  summary.unsteady.forEach((title) => print(`known red, passed this time: ${title}`));
   summary.stale.forEach((title) => print(`listed in KNOWN-RED.txt but not failing: ${title}`));
   summary.unlisted.forEach((title) => print(`FAILED: ${title}\n  ${messages.get(title)}`));
   report.pending.forEach(({ fullTitle }) => print(`FAILED: skipped: ${fullTitle}`));
