Probe the listen queue only while connections wait in a row

An entry connected to itself for a caller that came alone: the span without accepting turns before it was counted as a wait. The span now begins with the first turn that accepts a connection.

--- a/http/_listenQueue.ts
+++ b/http/_listenQueue.ts
@@ -42,8 +42,8 @@
   /** The probe that has not joined the queue yet. */
   #connecting: Socket | undefined;
 
-  /** When the queue was last seen to be empty. */
-  #emptyAt: Milliseconds = performance.now();
+  /** When connections began to be accepted in each turn; `undefined` while the queue is empty. */
+  #busySince: Milliseconds | undefined;
 
   #probedAt: Milliseconds = -Infinity;
 
@@ -94,12 +94,13 @@
   /** Probes the queue and begins or ends dropping, after a turn of the event loop. */
   endTurn(): void {
     const now = performance.now();
-    if (!this.#hasAccepted) this.#noteEmpty(now);
+    if (this.#hasAccepted) this.#busySince ??= now;
+    else this.#noteEmpty(now);
     this.#hasAccepted = false;
     this.#isStale = this.#age.isStale(now);
     this.#server.maxConnections = this.#isStale ? DROP_ALL : Infinity;
-    const mayProbe =
-      now - this.#emptyAt >= PROBE_INTERVAL_MS && now - this.#probedAt >= PROBE_INTERVAL_MS;
+    const busyMs = now - (this.#busySince ?? now);
+    const mayProbe = busyMs >= PROBE_INTERVAL_MS && now - this.#probedAt >= PROBE_INTERVAL_MS;
     // A probe must not be the reason for the next one.
     if (mayProbe && this.#hasAcceptedCaller) this.#probe(now);
   }
@@ -112,7 +113,7 @@
 
   /** Records that the queue is empty, so that a probe which should be in it has been lost. */
   #noteEmpty(now: Milliseconds): void {
-    this.#emptyAt = now;
+    this.#busySince = undefined;
     if (this.#age.leastAgeMs(now) >= PROBE_INTERVAL_MS) this.#endProbes();
   }
 
