Recognize probes of the listen queue whose address is known late

A probe was recognized by its local port, read before it was connected. A caller of another host with the same port would have been taken for a probe and closed. Probes are now recognized by address and port once they are connected, with what was accepted meanwhile, and at most one connects at a time.

--- a/http/_listenQueue.ts
+++ b/http/_listenQueue.ts
@@ -15,9 +15,22 @@
 /** Time for which connections wait without a break before the queue is probed, and between two probes. */
 const PROBE_INTERVAL_MS: Milliseconds = 50;
 
+/** Time after which a probe that does not connect is replaced: the queue is full. */
+const CONNECT_TIMEOUT_MS: Milliseconds = 200;
+
 /** Limit of connections that drops all new ones; in Node.js 20, 0 means no limit. */
 const DROP_ALL = -1;
 
+/** Where a connection comes from; parts are missing once it is closed. */
+export type RemoteAddress = {
+  readonly remoteAddress?: string | undefined;
+  readonly remotePort?: number | undefined;
+};
+
+function formatAddress(ip = '', port = 0): string {
+  return `${ip}:${port}`;
+}
+
 /**
  * Bounds the time that connections wait in the listen queue of a server.
  *
@@ -33,15 +46,18 @@
 
   readonly #onDropped: () => void;
 
-  /** Age of the queue, by the ports of the probes that wait in it. */
-  readonly #age = new ListenQueueAge<number>();
+  /** Age of the queue, by the addresses of the probes that wait in it. */
+  readonly #age = new ListenQueueAge<string>();
 
-  /** Probes that have not been accepted, by their ports. */
-  readonly #probes = new Map<number, Socket>();
+  /** Probes that wait in the queue, by their addresses. */
+  readonly #probes = new Map<string, Socket>();
 
-  /** The probe that has not joined the queue yet. */
+  /** The probe that is not known to have joined the queue. */
   #connecting: Socket | undefined;
 
+  /** Addresses accepted while a probe connects; its own may be among them, and is not known before. */
+  readonly #acceptedAddresses = new Set<string>();
+
   /** When connections began to be accepted in each turn; `undefined` while the queue is empty. */
   #busySince: Milliseconds | undefined;
 
@@ -73,20 +89,24 @@
     return this.#age.leastAgeMs(performance.now());
   }
 
-  /** Records that a connection was accepted; returns whether it is a caller's, and not a probe. */
-  noteAccepted(remotePort: number | undefined): boolean {
+  /** Records that a connection was accepted; returns whether it is a caller's, and not known as a probe. */
+  noteAccepted(remote: RemoteAddress): boolean {
     this.#hasAccepted = true;
-    if (remotePort !== undefined && this.#probes.has(remotePort)) {
-      this.#endProbe(remotePort);
+    const address = formatAddress(remote.remoteAddress, remote.remotePort);
+    if (this.#probes.has(address)) {
+      const waitedMs = this.#age.noteLeft(address, performance.now());
+      if (waitedMs !== undefined) this.#onWait(waitedMs);
+      this.#endProbe(address);
       return false;
     }
+    if (this.#connecting !== undefined) this.#acceptedAddresses.add(address);
     this.#hasAcceptedCaller = true;
     return true;
   }
 
-  /** Records that a connection was dropped; returns whether it is a caller's, and not a probe. */
-  noteDropped(remotePort: number | undefined): boolean {
-    const isCaller = this.noteAccepted(remotePort);
+  /** Records that a connection was dropped; returns whether it is a caller's, and not known as a probe. */
+  noteDropped(remote: RemoteAddress): boolean {
+    const isCaller = this.noteAccepted(remote);
     if (isCaller) this.#onDropped();
     return isCaller;
   }
@@ -100,7 +120,8 @@
     this.#isStale = this.#age.isStale(now);
     this.#server.maxConnections = this.#isStale ? DROP_ALL : Infinity;
     const busyMs = now - (this.#busySince ?? now);
-    const mayProbe = busyMs >= PROBE_INTERVAL_MS && now - this.#probedAt >= PROBE_INTERVAL_MS;
+    const pauseMs = this.#connecting === undefined ? PROBE_INTERVAL_MS : CONNECT_TIMEOUT_MS;
+    const mayProbe = busyMs >= PROBE_INTERVAL_MS && now - this.#probedAt >= pauseMs;
     // A probe must not be the reason for the next one.
     if (mayProbe && this.#hasAcceptedCaller) this.#probe(now);
   }
@@ -118,7 +139,7 @@
   }
 
   #endProbes(): void {
-    [...this.#probes.keys()].forEach((port) => this.#endProbe(port));
+    [...this.#probes.keys()].forEach((address) => this.#endProbe(address));
   }
 
   #probe(now: Milliseconds): void {
@@ -126,33 +147,34 @@
     if (typeof bound !== 'object' || bound === null) return;
     this.#hasAcceptedCaller = false;
     this.#probedAt = now;
-    // The queue is full if the one before has not joined it.
     this.#connecting?.destroy();
     const socket = connect(bound.port, bound.address);
     this.#connecting = socket;
-    let port: number | undefined;
+    this.#acceptedAddresses.clear();
     socket.on('error', () => undefined);
-    socket.once('connect', () => {
-      this.#connecting = undefined;
-      if (port !== undefined && this.#probes.has(port)) this.#age.noteJoined(port, now);
-    });
+    socket.once('connect', () => this.#noteJoined(socket, now));
     socket.once('close', () => {
       if (this.#connecting === socket) this.#connecting = undefined;
-      if (port !== undefined) this.#endProbe(port);
-    });
-    // The port is known before the other side can be accepted, and before this side is connected.
-    process.nextTick(() => {
-      port = socket.localPort;
-      if (port !== undefined) this.#probes.set(port, socket);
     });
   }
 
-  #endProbe(port: number): void {
-    const socket = this.#probes.get(port);
-    if (socket === undefined) return;
-    this.#probes.delete(port);
-    const waitedMs = this.#age.noteLeft(port, performance.now());
-    if (waitedMs !== undefined) this.#onWait(waitedMs);
-    socket.destroy();
+  #noteJoined(socket: Socket, startedAt: Milliseconds): void {
+    const address = formatAddress(socket.localAddress, socket.localPort);
+    if (this.#connecting === socket) this.#connecting = undefined;
+    if (this.#acceptedAddresses.has(address)) {
+      this.#hasAcceptedCaller = false;
+      socket.destroy();
+      return;
+    }
+    this.#probes.set(address, socket);
+    this.#age.noteJoined(address, startedAt);
+    socket.once('close', () => this.#endProbe(address));
+  }
+
+  #endProbe(address: string): void {
+    const socket = this.#probes.get(address);
+    this.#probes.delete(address);
+    this.#age.noteLeft(address, performance.now());
+    socket?.destroy();
   }
 }
--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -137,11 +137,11 @@
     });
     this.#listenQueues.push(listenQueue);
     server.on('drop', (dropped) => {
-      if (listenQueue.noteDropped(dropped?.remotePort)) this.#turns.noteAccepted();
+      if (listenQueue.noteDropped(dropped ?? {})) this.#turns.noteAccepted();
       else this.#turns.noteEvent();
     });
     server.on('connection', (socket) => {
-      if (!listenQueue.noteAccepted(socket.remotePort)) {
+      if (!listenQueue.noteAccepted(socket)) {
         this.#turns.noteEvent();
         socket.destroy();
         return;
