--- a/core/admission/mod.ts
+++ b/core/admission/mod.ts
@@ -3,8 +3,6 @@
 export type { ConnectionHolding } from './connectionLedger.ts';
 export { IntakeQueue } from './intakeQueue.ts';
 export type { IntakeQueueOptions } from './intakeQueue.ts';
-export { ListenQueueAge } from './listenQueueAge.ts';
-export type { ListenQueueAgeOptions } from './listenQueueAge.ts';
 export { OutlierDetector } from './outlierDetector.ts';
 export type { OutlierDetectorOptions } from './outlierDetector.ts';
 export { estimateWaitMs } from './estimateWaitMs.ts';
--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -2,7 +2,6 @@
 import type { Socket } from 'node:net';
 import { IntakeQueue } from '../core/admission/mod.ts';
 import type { Milliseconds } from '../core/clock/mod.ts';
-import { ListenQueue } from './_listenQueue.ts';
 import { LoopTurns } from './_loopTurns.ts';
 import type { SocketReads } from './_loopTurns.ts';
 
@@ -34,10 +33,6 @@
 export type RequestIntakeOptions = {
   /** Called after each turn of the event loop with socket events. @default does nothing */
   readonly onTurn?: (tookMs: Milliseconds) => void;
-  /** Called with the time that a connection waited in a listen queue, where it is measured. @default does nothing */
-  readonly onListenWait?: (waitedMs: Milliseconds) => void;
-  /** Called when a connection is closed unread as it has waited for too long. @default does nothing */
-  readonly onDropped?: () => void;
 };
 
 /** Time per turn of the event loop for handling requests; sockets are read after it at the latest. */
@@ -46,9 +41,6 @@
 /** The same while requests are overdue. */
 const OVERDUE_SLICE_MS: Milliseconds = 100;
 
-/** Time between two requests that are handled while connections are dropped, which must go on quickly. */
-const DROPPING_INTERVAL_MS: Milliseconds = 50;
-
 type ConnectionRecord = { readonly acceptedAt: Milliseconds; requests: number };
 
 type WaitingRequest = ReadRequest & {
@@ -107,19 +99,10 @@
 
   readonly #turns: LoopTurns;
 
-  readonly #options: RequestIntakeOptions;
-
-  readonly #listenQueues: ListenQueue[] = [];
-
-  #handledAt: Milliseconds = 0;
-
-  constructor(options: RequestIntakeOptions = {}) {
-    this.#options = options;
-    const { onTurn } = options;
+  constructor({ onTurn }: RequestIntakeOptions = {}) {
     this.#turns = new LoopTurns({
       onTurn: ({ tookMs, hasAccepted }) => {
         this.#queue.endTurn(hasAccepted);
-        this.#listenQueues.forEach((queue) => queue.endTurn());
         this.#handleWaiting();
         onTurn?.(tookMs);
       },
@@ -129,23 +112,7 @@
 
   /** Observes the connections of a server. */
   observe(server: Server): void {
-    const { onListenWait, onDropped } = this.#options;
-    const listenQueue = new ListenQueue({
-      server,
-      ...(onListenWait !== undefined && { onWait: onListenWait }),
-      ...(onDropped !== undefined && { onDropped }),
-    });
-    this.#listenQueues.push(listenQueue);
-    server.on('drop', (dropped) => {
-      if (listenQueue.noteDropped(dropped ?? {})) this.#turns.noteAccepted();
-      else this.#turns.noteEvent();
-    });
     server.on('connection', (socket) => {
-      if (!listenQueue.noteAccepted(socket)) {
-        this.#turns.noteEvent();
-        socket.destroy();
-        return;
-      }
       this.#connections.set(socket, { acceptedAt: performance.now(), requests: 0 });
       this.#turns.noteAccepted();
       // Each pipelined request observes the end of the socket.
@@ -164,11 +131,6 @@
     return this.#turns.acceptRun;
   }
 
-  /** How long connections wait at least before they are accepted; 0 if they hardly do. */
-  get listenWaitMs(): Milliseconds {
-    return Math.max(0, ...this.#listenQueues.map((queue) => queue.leastAgeMs));
-  }
-
   /** Tells how long ago the callers' sockets were read. */
   get reads(): SocketReads {
     return this.#turns;
@@ -205,7 +167,6 @@
   /** Stops passing on requests. */
   close(): void {
     this.#turns.close();
-    this.#listenQueues.forEach((queue) => queue.close());
   }
 
   static #arrivalOf({ arrival, readAt }: WaitingRequest): RequestArrival {
@@ -215,9 +176,6 @@
   /** Handles waiting requests, at least one and more while the time slice lasts. */
   #handleWaiting(): void {
     const startedAt = performance.now();
-    const isDropping = this.#listenQueues.some((queue) => queue.isStale);
-    if (isDropping && startedAt - this.#handledAt < DROPPING_INTERVAL_MS) return;
-    this.#handledAt = startedAt;
     let now: Milliseconds;
     do {
       const next = this.#queue.take(performance.now());
@@ -225,10 +183,6 @@
       next.stopObserving();
       next.handle(RequestIntake.#arrivalOf(next));
       now = performance.now();
-    } while (!isDropping && now - startedAt < this.#sliceMs(now));
-  }
-
-  #sliceMs(now: Milliseconds): Milliseconds {
-    return this.#queue.isOverdue(now) ? OVERDUE_SLICE_MS : HANDLING_SLICE_MS;
+    } while (now - startedAt < (this.#queue.isOverdue(now) ? OVERDUE_SLICE_MS : HANDLING_SLICE_MS));
   }
 }
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -405,12 +405,6 @@
     remedy:
       'Look for callers that send slowly, many requests at once or tiny chunks, and for backend servers that read slowly; or give the host more memory',
   },
-  connectionsDropped: {
-    number: 'HS8061',
-    level: 'warn',
-    message: 'Connections were closed unread, as they had waited too long to be accepted',
-    remedy: 'Add hosts, or give the host more CPU',
-  },
   tokenIssuerSilent: {
     number: 'HS8055',
     level: 'warn',
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -83,14 +83,8 @@
   let { graceMs } = settings;
   const configurationAge = new ConfigurationAge();
   const serverRecordsAge = new ConfigurationAge();
-  const rateLimitedLog = limitLogRate(log, realClock);
-  const intake: RequestIntake = new RequestIntake({
+  const intake = new RequestIntake({
     onTurn: (tookMs) => metrics.record('loop_turn_ms', tookMs),
-    onListenWait: (waitedMs) => metrics.record('listen_wait_ms', waitedMs),
-    onDropped: () => {
-      metrics.count('connections_dropped_total');
-      rateLimitedLog('connectionsDropped', { waitedMs: Math.round(intake.listenWaitMs) });
-    },
   });
   const gateway = new Gateway({
     entryId: `${settings.host}/${randomUUID()}`,
@@ -120,6 +114,7 @@
       keyWithdrawalMs: settings.keyWithdrawalMs,
     },
   });
+  const rateLimitedLog = limitLogRate(log, realClock);
   const limiter: CallerLimiter = new CallerLimiter({
     ...(settings.memoryMb > 0 && { maxHeldBytes: maxCallerBytes(settings.memoryMb) }),
     onLimited: () => {
@@ -184,7 +179,6 @@
   metrics.gauge('open_connections', () => server.openConnectionCount);
   metrics.gauge('held_caller_bytes', () => server.heldBytes);
   metrics.gauge('accept_run', () => server.acceptRun);
-  metrics.gauge('listen_queue_age_ms', () => Math.round(intake.listenWaitMs));
   metrics.gauge('intake_wait_ms', () => Math.round(server.oldestWaitMs));
   metrics.gauge('known_servers', () => gateway.servers.size);
   metrics.gauge('deployment_version', () => gateway.deployment?.version ?? 0);
