Reset the listen queue of an entry whose callers have left

Callers saw an entry that says it is ready and answers nobody. The event loop accepts one connection per turn, in order.

An entry that accepts in each turn and has handled nothing for 500 ms while the callers of eight new connections in a row have left now closes its listening socket and opens it again. This resets all that wait at the cost of one connection, so that it serves fresh ones at once. It says that it is not ready for 3 s, so that the balancer sends callers elsewhere. Connections that the entry closes itself are not counted.

--- a/core/admission/mod.ts
+++ b/core/admission/mod.ts
@@ -3,6 +3,8 @@
 export type { ConnectionHolding } from './connectionLedger.ts';
 export { IntakeQueue } from './intakeQueue.ts';
 export type { IntakeQueueOptions } from './intakeQueue.ts';
+export { ListenQueueGuard } from './listenQueueGuard.ts';
+export type { ListenQueueGuardOptions } from './listenQueueGuard.ts';
 export { OutlierDetector } from './outlierDetector.ts';
 export type { OutlierDetectorOptions } from './outlierDetector.ts';
 export { estimateWaitMs } from './estimateWaitMs.ts';
--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { IntakeQueue } from '../core/admission/mod.ts';
+import { IntakeQueue, ListenQueueGuard } from '../core/admission/mod.ts';
 import type { Milliseconds } from '../core/clock/mod.ts';
 import { LoopTurns } from './_loopTurns.ts';
 import type { SocketReads } from './_loopTurns.ts';
@@ -49,6 +49,11 @@
   readonly stopObserving: () => void;
 };
 
+/** Whether the other end has closed or reset a connection, and not this process. */
+function isClosedByCaller({ readableEnded, errored }: Socket): boolean {
+  return readableEnded || errored !== null;
+}
+
 /**
  * Calls `run` once when the caller of a request has closed its connection, or its sending side, before
  * the response is complete. Returns a function that ends the observation.
@@ -99,19 +104,33 @@
 
   readonly #turns: LoopTurns;
 
+  readonly #guard = new ListenQueueGuard();
+
+  readonly #listenQueueResets: (() => void)[] = [];
+
   constructor({ onTurn }: RequestIntakeOptions = {}) {
     this.#turns = new LoopTurns({
       onTurn: ({ tookMs, hasAccepted }) => {
         this.#queue.endTurn(hasAccepted);
         this.#handleWaiting();
+        if (this.#guard.endTurn(hasAccepted, performance.now())) {
+          this.#listenQueueResets.forEach((reset) => reset());
+        }
         onTurn?.(tookMs);
       },
       hasWork: () => this.#queue.size > 0,
     });
   }
 
-  /** Observes the connections of a server. */
-  observe(server: Server): void {
+  /**
+   * Observes the connections of a server.
+   *
+   * @param server The server.
+   * @param resetListenQueue Called when the callers of the connections that wait to be accepted have left.
+   *   @default does nothing
+   */
+  observe(server: Server, resetListenQueue: () => void = () => undefined): void {
+    this.#listenQueueResets.push(resetListenQueue);
     server.on('connection', (socket) => {
       this.#connections.set(socket, { acceptedAt: performance.now(), requests: 0 });
       this.#turns.noteAccepted();
@@ -131,6 +150,16 @@
     return this.#turns.acceptRun;
   }
 
+  /** Whether a listen queue was reset a moment ago, since its callers had left. */
+  get hasResetListenQueue(): boolean {
+    return this.#guard.wasAbandoned(performance.now());
+  }
+
+  /** How long connections have waited to be accepted while no request was handled. */
+  get silenceMs(): Milliseconds {
+    return this.#guard.silenceMs(performance.now());
+  }
+
   /** Tells how long ago the callers' sockets were read. */
   get reads(): SocketReads {
     return this.#turns;
@@ -157,7 +186,12 @@
         turnMs: this.#turns.lastTurnMs,
       },
       stopObserving: onCallerGone(request, response, () => {
-        if (this.#queue.remove(waiting)) read.onCallerGone?.(RequestIntake.#arrivalOf(waiting));
+        if (!this.#queue.remove(waiting)) return;
+        // Later requests of a connection say nothing more about how long it waited to be accepted.
+        if (waiting.arrival.connectionRequests === 1 && isClosedByCaller(request.socket)) {
+          this.#guard.noteGone();
+        }
+        read.onCallerGone?.(RequestIntake.#arrivalOf(waiting));
       }),
     };
     this.#queue.add(waiting, readAt);
@@ -181,6 +215,7 @@
       const next = this.#queue.take(performance.now());
       if (next === undefined) return;
       next.stopObserving();
+      this.#guard.noteHandled(performance.now());
       next.handle(RequestIntake.#arrivalOf(next));
       now = performance.now();
     } while (now - startedAt < (this.#queue.isOverdue(now) ? OVERDUE_SLICE_MS : HANDLING_SLICE_MS));
--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -405,6 +405,19 @@
     remedy:
       'Look for callers that send slowly, many requests at once or tiny chunks, and for backend servers that read slowly; or give the host more memory',
   },
+  listenQueueReset: {
+    number: 'HS8061',
+    level: 'warn',
+    message:
+      'All connections that waited to be accepted were reset, as the callers before them had left while they waited',
+    remedy: 'Add hosts, or give the host more CPU',
+  },
+  listenFailed: {
+    number: 'HS8062',
+    level: 'error',
+    message: 'The port for callers could not be opened again; this is retried',
+    remedy: 'Look for another process that uses the port',
+  },
   tokenIssuerSilent: {
     number: 'HS8055',
     level: 'warn',
--- a/programs/serving/startGateway.ts
+++ b/programs/serving/startGateway.ts
@@ -133,6 +133,11 @@
     onCallerGone: (request) => gateway.noteCallerGone(request),
     limiter,
     intake,
+    onListenQueueReset: () => {
+      metrics.count('listen_queue_resets_total');
+      log('listenQueueReset', { openConnections: intake.connectionCount });
+    },
+    onListenFailed: (error) => log('listenFailed', { error: error.message }),
   });
   const records = new StoreRecords({
     settings,
@@ -169,7 +174,7 @@
   });
   const closeReadiness = serveReadiness(
     settings.readinessAddress ?? `${settings.ip}:0`,
-    () => gateway.isReady && !isLeaving && !isShedding,
+    () => gateway.isReady && !isLeaving && !isShedding && !intake.hasResetListenQueue,
   );
   await server.listen();
   gateway.start();
@@ -179,6 +184,7 @@
   metrics.gauge('open_connections', () => server.openConnectionCount);
   metrics.gauge('held_caller_bytes', () => server.heldBytes);
   metrics.gauge('accept_run', () => server.acceptRun);
+  metrics.gauge('silence_ms', () => Math.round(intake.silenceMs));
   metrics.gauge('intake_wait_ms', () => Math.round(server.oldestWaitMs));
   metrics.gauge('known_servers', () => gateway.servers.size);
   metrics.gauge('deployment_version', () => gateway.deployment?.version ?? 0);
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http';
+import { Server as NetServer } from 'node:net';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { CallerLimits } from '../core/serving/mod.ts';
 import type { Milliseconds } from '../core/clock/mod.ts';
@@ -69,6 +70,10 @@
   readonly limiter?: CallerLimiter;
   /** Passes on the requests; closed with the server. @default one of its own */
   readonly intake?: RequestIntake;
+  /** Called when all connections that waited to be accepted were reset. @default does nothing */
+  readonly onListenQueueReset?: () => void;
+  /** Called when the server could not listen again after that, which it retries. @default does nothing */
+  readonly onListenFailed?: (error: Error) => void;
 };
 
 const PAYLOAD_TOO_LARGE = 413;
@@ -80,6 +85,12 @@
 /** Shortest time after which a caller whose body was refused may return. */
 const RETURN_DELAY_S = 1;
 
+/** Length of the listen queue. */
+const BACKLOG = 1024;
+
+/** Time between two attempts to listen again. */
+const LISTEN_RETRY_INTERVAL_MS: Milliseconds = 100;
+
 /** Header size limit of the parser; the configured limit is checked afterwards. */
 const MAX_PARSER_HEADER_BYTES = 65_536;
 
@@ -131,6 +142,8 @@
 
   #openRequests = 0;
 
+  #isAborted = false;
+
   constructor(options: CallerServerOptions) {
     this.#options = options;
     this.#limits = options.limits;
@@ -149,7 +162,7 @@
     );
     this.#server.on('connection', (socket) => this.#headerTimeout.add(socket));
     this.#intake = options.intake ?? new RequestIntake();
-    this.#intake.observe(this.#server);
+    this.#intake.observe(this.#server, () => this.#resetListenQueue());
     this.#limiter = options.limiter ?? new CallerLimiter();
     this.#limiter.observe(this.#server);
     this.applyLimits(options.limits);
@@ -194,7 +207,10 @@
     const { ip, port } = this.#options;
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
-      this.#server.listen({ host: ip, port, backlog: 1024 }, resolve);
+      this.#server.listen({ host: ip, port, backlog: BACKLOG }, () => {
+        this.#server.off('error', reject);
+        resolve();
+      });
     });
   }
 
@@ -211,6 +227,7 @@
 
   /** Stops listening and closes all connections. */
   abort(): void {
+    this.#isAborted = true;
     this.#headerTimeout.close();
     this.#intake.close();
     this.#limiter.close();
@@ -218,6 +235,28 @@
     this.#server.closeAllConnections();
   }
 
+  /** Resets all connections that wait to be accepted; those that are open stay. */
+  #resetListenQueue(): void {
+    const { port } = this;
+    if (this.#isAborted || port === 0) return;
+    // The `close` of an HTTP server would close its idle connections as well.
+    NetServer.prototype.close.call(this.#server);
+    this.#listenAgain(port);
+    this.#options.onListenQueueReset?.();
+  }
+
+  #listenAgain(port: number): void {
+    if (this.#isAborted) return;
+    const handleError = (error: Error): void => {
+      this.#options.onListenFailed?.(error);
+      setTimeout(() => this.#listenAgain(port), LISTEN_RETRY_INTERVAL_MS);
+    };
+    this.#server.once('error', handleError);
+    this.#server.listen({ host: this.#options.ip, port, backlog: BACKLOG }, () => {
+      this.#server.off('error', handleError);
+    });
+  }
+
   #readRequest(request: IncomingMessage, response: ServerResponse): void {
     // The rest of what was read from a connection that is closed meanwhile.
     if (request.socket.destroyed) return;
