--- a/core/admission/listenQueueGuard.ts
+++ b/core/admission/listenQueueGuard.ts
@@ -2,7 +2,7 @@
 
 /** Options of `ListenQueueGuard`. */
 export type ListenQueueGuardOptions = {
-  /** Time without a handled request from which on the queue may be abandoned. @default 500 */
+  /** Time without a handled request of a new connection from which on the queue may be abandoned. @default 500 */
   readonly minSilenceMs?: Milliseconds;
   /** Callers in a row that must have left before their requests were handled. @default 8 */
   readonly minGone?: number;
@@ -23,7 +23,7 @@
 
   readonly #recentMs: Milliseconds;
 
-  /** When a request was last handled, or connections began to wait; `undefined` while none waits. */
+  /** When a request of a new connection was last handled, or connections began to wait; `undefined` while none waits. */
   #silentSince: Milliseconds | undefined;
 
   #goneCount = 0;
@@ -36,7 +36,7 @@
     this.#recentMs = recentMs;
   }
 
-  /** Returns for how long connections have waited while no request was handled; 0 if none waits. */
+  /** Returns for how long connections have waited while none had a request handled; 0 if none waits. */
   silenceMs(now: Milliseconds): Milliseconds {
     return this.#silentSince === undefined ? 0 : now - this.#silentSince;
   }
@@ -51,7 +51,7 @@
     this.#goneCount += 1;
   }
 
-  /** Records that a request was handled whose caller had not left. */
+  /** Records that the request of a new connection was handled, since its caller had not left. */
   noteHandled(now: Milliseconds): void {
     if (this.#silentSince !== undefined) this.#silentSince = now;
     this.#goneCount = 0;
--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -49,6 +49,11 @@
   readonly stopObserving: () => void;
 };
 
+/** Whether a request is the first of its connection; later ones tell nothing of the wait to be accepted. */
+function isFirstRequest({ arrival }: WaitingRequest): boolean {
+  return arrival.connectionRequests === 1;
+}
+
 /** Whether the other end has closed or reset a connection, and not this process. */
 function isClosedByCaller({ readableEnded, errored }: Socket): boolean {
   return readableEnded || errored !== null;
@@ -187,10 +192,7 @@
       },
       stopObserving: onCallerGone(request, response, () => {
         if (!this.#queue.remove(waiting)) return;
-        // Later requests of a connection say nothing more about how long it waited to be accepted.
-        if (waiting.arrival.connectionRequests === 1 && isClosedByCaller(request.socket)) {
-          this.#guard.noteGone();
-        }
+        if (isFirstRequest(waiting) && isClosedByCaller(request.socket)) this.#guard.noteGone();
         read.onCallerGone?.(RequestIntake.#arrivalOf(waiting));
       }),
     };
@@ -215,7 +217,7 @@
       const next = this.#queue.take(performance.now());
       if (next === undefined) return;
       next.stopObserving();
-      this.#guard.noteHandled(performance.now());
+      if (isFirstRequest(next)) this.#guard.noteHandled(performance.now());
       next.handle(RequestIntake.#arrivalOf(next));
       now = performance.now();
     } while (now - startedAt < (this.#queue.isOverdue(now) ? OVERDUE_SLICE_MS : HANDLING_SLICE_MS));
--- a/programs/serving/listenQueue.test.ts
+++ b/programs/serving/listenQueue.test.ts
@@ -1,4 +1,5 @@
 import { mkdtempSync, rmSync } from 'node:fs';
+import { connect } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -23,6 +24,9 @@
 
 const DURATION_MS: Milliseconds = 10_000;
 
+/** Time between the requests on a connection that stays open. */
+const KEPT_INTERVAL_MS: Milliseconds = 200;
+
 /** Longest time for which a ready entry may answer nobody. */
 const MAX_SILENCE_MS: Milliseconds = 4000;
 
@@ -75,6 +79,20 @@
     return longestMs;
   }
 
+  /** Sends requests on one connection; returns a function that ends it. */
+  function startKeptConnection(): () => void {
+    const socket = connect(program.callerPort, program.ip);
+    socket.on('error', () => undefined).resume();
+    const timer = setInterval(
+      () => socket.write('GET /look/kept HTTP/1.1\r\nHost: house.example\r\n\r\n'),
+      KEPT_INTERVAL_MS,
+    );
+    return () => {
+      clearInterval(timer);
+      socket.destroy();
+    };
+  }
+
   before(async () => {
     store = new StoreStandin();
     server = new BackendServerStandin({ id: 'i-1' });
@@ -98,6 +116,7 @@
 
   // Guards against a listen queue full of callers that have left, behind which all others wait in vain.
   it('answers patient callers beside a crowd that leaves soon, or says that it is not ready', async () => {
+    const endKeptConnection = startKeptConnection();
     const crowd = startLeavingCrowd({
       ip: program.ip,
       port: program.callerPort,
@@ -107,6 +126,7 @@
     });
     const silenceMs = await measureSilence();
     const ready = await isReady();
+    endKeptConnection();
     await crowd.terminate();
     expect(ready && silenceMs > MAX_SILENCE_MS, `silent for ${silenceMs} ms`).to.equal(false);
     const goneAt = performance.now();
