--- a/tools/results/formatResults.ts
+++ b/tools/results/formatResults.ts
@@ -23,7 +23,7 @@
 function largestLoss({ parts, prices }: DayResult): string {
   const losses = [
     ...parts.map(([name, weight, share]) => [name, weight * (1 - share)] as const),
-    ...prices.map(([name, , cost]) => [name, cost] as const),
+    ...prices.map(([name, , cost]) => [name, cost ?? 0] as const),
   ];
   const [name, cost] = losses.sort((a, b) => b[1] - a[1])[0] ?? ['none', 0];
   return `${name} ${formatShare(cost)}`;
--- a/tools/results/journal.ts
+++ b/tools/results/journal.ts
@@ -13,8 +13,8 @@
   fault: z.nullable(z.string()),
   // Parts of the worth: name, weight, share achieved.
   parts: z.array(z.tuple([z.string(), z.number(), z.number()])),
-  // Prices: name, quantity, deduction from the worth.
-  prices: z.array(z.tuple([z.string(), z.number(), z.number()])),
+  // Prices: name, quantity, deduction from the worth; null where a day was stopped before it was known.
+  prices: z.array(z.tuple([z.string(), z.number(), z.nullable(z.number())])),
 });
 
 const entrySchema = z.object({
