Keep the error listener of the caller server after it listens

The listener stays as it was before; the tests of the caller server and of a tenth of a processor pass.

--- a/http/requestIntake.ts
+++ b/http/requestIntake.ts
@@ -160,7 +160,7 @@
     return this.#guard.wasAbandoned(performance.now());
   }
 
-  /** How long connections have waited to be accepted while no request was handled. */
+  /** How long connections have waited to be accepted while none had a request handled. */
   get silenceMs(): Milliseconds {
     return this.#guard.silenceMs(performance.now());
   }
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -207,10 +207,7 @@
     const { ip, port } = this.#options;
     return new Promise((resolve, reject) => {
       this.#server.once('error', reject);
-      this.#server.listen({ host: ip, port, backlog: BACKLOG }, () => {
-        this.#server.off('error', reject);
-        resolve();
-      });
+      this.#server.listen({ host: ip, port, backlog: BACKLOG }, resolve);
     });
   }
 
