Log whether a length or chunks delimit a response

Callers saw streams end early by a regular close, and HS8020 said `answered`, as for a whole one: the log could not tell an answer with a length or chunks from one to the close. HS8020 now carries isFramed. No change of behaviour.

--- a/tasks/gateway/_describeRequest.ts
+++ b/tasks/gateway/_describeRequest.ts
@@ -79,6 +79,7 @@
     unreadMs: request.unreadMs === undefined ? undefined : Math.round(request.unreadMs),
     firstByteMs: request.firstByteMs === undefined ? undefined : Math.round(request.firstByteMs),
     longestPauseMs: Math.round(request.longestPauseMs),
+    isFramed: request.isResponseFramed,
     mayHaveRun: request.mayHaveRunCount,
     notRun: request.notRunCount,
     version: deployment?.version,
--- a/tasks/gateway/_forwardResponse.ts
+++ b/tasks/gateway/_forwardResponse.ts
@@ -112,6 +112,7 @@
   function startResponse(status: number, statusText: string, response: ResponseHeaders): void {
     request.view?.noteFirstByte(clock.now() - request.sentAt);
     clearAwaitingFirstByte(request);
+    request.isResponseFramed = isFramed;
     // A resumed stream keeps the head and the proof of its first server.
     if (caller.response.hasBegun()) return;
     if (isOk) options.onBegun();
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -46,6 +46,8 @@
   /** Time from accepting the request to the first byte of the response body; `undefined` before. */
   firstByteMs: Milliseconds | undefined;
   lastChunkAt: Milliseconds;
+  /** Whether a length or chunks delimit the response body; `undefined` before its head. */
+  isResponseFramed: boolean | undefined;
   /** When the first chunk of the current attempt arrived; `undefined` before. */
   writingSince: Milliseconds | undefined;
   /** Whether the current attempt has been writing long enough to show that it crashes no server. */
@@ -145,6 +147,7 @@
     unreadMs: undefined,
     firstByteMs: undefined,
     lastChunkAt: 0,
+    isResponseFramed: undefined,
     writingSince: undefined,
     isProvenSound: false,
     longestPauseMs: 0,
