Take a reset that is read together with bytes for a reset

Cause: for bytes and a reset that are read in one turn of the event loop Node.js 20 emits `data` and `end`, and no `error`. undici completes a response without a length at that `end`, and `wasReset` followed `error` alone.

Change: a listener ahead of undici's looks at `end` whether the kernel still knows the other end. After a close it does, after a reset it does not.

--- a/http/mod.ts
+++ b/http/mod.ts
@@ -1,6 +1,7 @@
 /** Helpers for HTTP servers, the intake of requests, and a parser of server-sent events. @module */
 export { CallerLimiter } from './callerLimiter.ts';
 export type { CallerLimiterOptions, ReadingRequest } from './callerLimiter.ts';
+export { isDisconnected } from './isDisconnected.ts';
 export { listenHttp } from './listen.ts';
 export type { HttpAddress, HttpHandler, HttpListener } from './listen.ts';
 export { readBody } from './readBody.ts';
--- /dev/null
+++ b/programs/serving/truncatedAnswers.test.ts
@@ -0,0 +1,173 @@
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import { READINESS_PATH } from '../../platform/mod.ts';
+import {
+  ALL_EVENTS,
+  ENDING_HEADER,
+  EVENT_COUNT,
+  EVENT_COUNT_HEADER,
+  sampleDeployment,
+  startTruncatingServer,
+  StoreStandin,
+} from '../../platform/testing/mod.ts';
+import type { ResponseEnding, TruncatingServer } from '../../platform/testing/mod.ts';
+import { bundleServing } from '../../tools/build/bundle.ts';
+import { throttleProcess } from '../testing/throttleProcess.ts';
+import { callRaw } from './testing/rawCaller.ts';
+import type { RawCall, RawResult } from './testing/rawCaller.ts';
+import { callGateway } from './testing/servingWorld.ts';
+import { pickLoopbackAddress, startServingProgram } from './testing/servingProgram.ts';
+import type { ServingProgram } from './testing/servingProgram.ts';
+
+const CALLS = 20;
+
+const EVENTS_BEFORE_END = 3;
+
+const ALL = { [EVENT_COUNT_HEADER]: String(EVENT_COUNT) };
+
+const UPLOAD = Buffer.alloc(4_000_000, 'x');
+
+/** Share of a processor of a slow entry. */
+const SLOW = { runMs: 10, periodMs: 50 };
+
+/** Paths of the routes, by the kind of response that they serve. */
+const PATHS = { stream: '/tale/', resumable: '/long/', plain: '/book/' } as const;
+
+function deployment(): unknown {
+  const sample = sampleDeployment() as {
+    readonly routes: readonly Readonly<Record<string, unknown>>[];
+    readonly limits: Readonly<Record<string, unknown>>;
+  };
+  const resumable = sample.routes.find(({ name }) => name === 'r4');
+  const stream = { ...resumable, name: 'r5', 'path-prefix': PATHS.stream, resumable: false };
+  return {
+    ...sample,
+    routes: [...sample.routes, stream],
+    limits: { ...sample.limits, 'max-body-bytes': UPLOAD.length },
+  };
+}
+
+describe('a built entry with servers whose responses have no length', () => {
+  let directory: string;
+
+  let loader: string;
+
+  let store: StoreStandin;
+
+  let servers: TruncatingServer[];
+
+  let program: ServingProgram;
+
+  let sentCalls = 0;
+
+  before(async () => {
+    directory = mkdtempSync(join(tmpdir(), 'hyssopspread-'));
+    loader = await bundleServing(directory);
+  });
+
+  after(() => rmSync(directory, { recursive: true }));
+
+  async function isReady(): Promise<boolean> {
+    const question = { id: 'q', path: READINESS_PATH, method: 'GET' };
+    return (await callGateway(program.readinessPort, question, program.ip)).status === 200;
+  }
+
+  /** Sends a request whose first server ends its response in a given way. */
+  function call(
+    ending: ResponseEnding,
+    options: Partial<RawCall> & { readonly path: string },
+  ): Promise<RawResult> {
+    sentCalls += 1;
+    return callRaw(program.ip, program.callerPort, {
+      id: `r${sentCalls}`,
+      ...options,
+      // Requests with the same path that lose their connections are kept from further servers.
+      path: `${options.path}${sentCalls}`,
+      headers: {
+        [ENDING_HEADER]: ending,
+        [EVENT_COUNT_HEADER]: String(EVENTS_BEFORE_END),
+        ...options.headers,
+      },
+    });
+  }
+
+  /** Sends requests one after another. */
+  async function callRepeatedly(
+    ending: ResponseEnding,
+    options: Partial<RawCall> & { readonly path: string },
+  ): Promise<readonly RawResult[]> {
+    const results: RawResult[] = [];
+    for (let number = 0; number < CALLS; number += 1) results.push(await call(ending, options));
+    return results;
+  }
+
+  /** Returns the results of truncated responses that their callers take for complete. */
+  function takenForComplete(results: readonly RawResult[]): readonly RawResult[] {
+    return results.filter(
+      ({ status, body, isComplete }) => status === 200 && isComplete && body !== ALL_EVENTS,
+    );
+  }
+
+  function whole(results: readonly RawResult[]): readonly RawResult[] {
+    return results.filter(
+      ({ status, body, isComplete }) => status === 200 && isComplete && body === ALL_EVENTS,
+    );
+  }
+
+  beforeEach(async () => {
+    store = new StoreStandin();
+    servers = await Promise.all([startTruncatingServer(), startTruncatingServer()]);
+    store.putDeployment(deployment());
+    servers.forEach((server, index) => store.putServer(`i-${index}`, server.record('app')));
+    const storeAddress = await store.listen();
+    program = await startServingProgram({ loader, storeAddress, ip: pickLoopbackAddress() });
+    while (!(await isReady())) await sleep(20);
+  });
+
+  afterEach(async () => {
+    await program.close();
+    await Promise.all([store, ...servers].map((each) => each.close()));
+  });
+
+  const speeds: Readonly<Record<string, () => () => void>> = {
+    'an entry with a whole processor': () => () => undefined,
+    'a slow entry': () => throttleProcess(program.child.pid!, SLOW),
+  };
+
+  Object.entries(speeds).forEach(([speed, limitSpeed]) => {
+    describe(`behind ${speed}`, () => {
+      let restoreSpeed: () => void;
+
+      beforeEach(() => {
+        restoreSpeed = limitSpeed();
+      });
+
+      afterEach(() => restoreSpeed());
+
+      Object.entries(PATHS).forEach(([kind, path]) => {
+        it(`passes on complete responses whole (${kind})`, async () => {
+          const results = await callRepeatedly('close', { path, headers: ALL });
+          expect(whole(results)).to.have.length(CALLS);
+        });
+
+        // Guards against a reset that is read together with bytes and taken for a regular end.
+        (['reset', 'late-reset'] as const).forEach((ending) => {
+          it(`does not let a response look complete that ends by a ${ending} (${kind})`, async () => {
+            const results = await callRepeatedly(ending, { path });
+            expect(takenForComplete(results)).to.have.length(0);
+          });
+        });
+      });
+
+      // Guards against a reset that the upload's write reports only after the end.
+      it('does not let a response look complete that is reset while the upload goes on', async () => {
+        const options = { path: PATHS.plain, body: UPLOAD };
+        const results = await callRepeatedly('early-reset', options);
+        expect(takenForComplete(results)).to.have.length(0);
+      });
+    });
+  });
+});
--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { Client, buildConnector } from 'undici';
 import type { Milliseconds } from '../core/clock/mod.ts';
+import { isDisconnected } from '../http/mod.ts';
 import type { SocketReads } from '../http/mod.ts';
 import { limitOverhead } from './_connection.ts';
 import type { Connection } from './_connection.ts';
@@ -182,6 +183,10 @@
     socket.once('error', () => {
       connection.socketState.wasReset = true;
     });
+    // Before undici, which completes a response without a length at this event.
+    socket.prependOnceListener('end', () => {
+      if (isDisconnected(socket)) connection.socketState.wasReset = true;
+    });
     this.#options.socketReads.afterRead(() => {
       if (socket.destroyed) {
         callback(new Error('the connection closed before it was used'), null);
