--- a/programs/serving/truncatedAnswers.test.ts
+++ b/programs/serving/truncatedAnswers.test.ts
@@ -9,6 +9,7 @@
   ENDING_HEADER,
   EVENT_COUNT,
   EVENT_COUNT_HEADER,
+  EVENT_INTERVAL_HEADER,
   sampleDeployment,
   startTruncatingServer,
   StoreStandin,
@@ -28,6 +29,8 @@
 
 const ALL = { [EVENT_COUNT_HEADER]: String(EVENT_COUNT) };
 
+const STREAMS = 12;
+
 const UPLOAD = Buffer.alloc(4_000_000, 'x');
 
 /** Share of a processor of a slow entry. */
@@ -170,4 +173,34 @@
       });
     });
   });
+
+  // Guards against responses that end with the entry's connections, and look complete when the entry is killed.
+  it('does not let responses look complete when the entry is killed', async () => {
+    let begun = 0;
+    const headers = { ...ALL, [EVENT_INTERVAL_HEADER]: '100' };
+    const onBegun = (): void => {
+      begun += 1;
+      if (begun === STREAMS) program.child.kill('SIGKILL');
+    };
+    const calls = Array.from({ length: STREAMS }, () =>
+      call('close', { path: PATHS.stream, headers, onBegun }),
+    );
+    const results = await Promise.all(calls);
+    expect(results.every(({ body }) => body !== '' && body !== ALL_EVENTS)).to.equal(true);
+    expect(takenForComplete(results)).to.have.length(0);
+  });
+
+  describe('and a caller that knows no chunks', () => {
+    const options = { path: PATHS.stream, httpVersion: '1.0' } as const;
+
+    it('passes on complete responses whole', async () => {
+      const results = await callRepeatedly('close', { ...options, headers: ALL });
+      expect(whole(results)).to.have.length(CALLS);
+    });
+
+    it('does not let a response look complete that ends by a reset', async () => {
+      const results = await callRepeatedly('reset', options);
+      expect(takenForComplete(results)).to.have.length(0);
+    });
+  });
 });
