Complete a response without a length only if its server goes on

Cause: the kernel closes the connections of a process that ends, without a reset if it has read all that was sent. The response was completed at that close. The crash guard learned of the end of the server 30 ms later, for its own use only.

Change: the end of such a response waits until ServerEnds has judged its server; callers have all events by then. The server has ended if all its connections closed within 30 ms and it accepts no new one. The probe is new; without it a server whose only connection was reset counted as ended, and its requests were kept from further servers, so that resumable streams were not resumed. A retry after a lost connection now waits for that judgement and no longer for a fixed time.

--- a/programs/serving/testing/servingProgram.ts
+++ b/programs/serving/testing/servingProgram.ts
@@ -18,6 +18,8 @@
   readonly seeds?: readonly string[];
   /** Memory of the process. @default unknown to the process */
   readonly memoryMb?: number;
+  /** Retries allowed, as a share of the requests. @default 0.1 */
+  readonly retryShare?: number;
 };
 
 /** A built entry that runs as a process of its own. */
@@ -51,7 +53,7 @@
 
 /** Starts a built entry as a process of its own; resolves once its log says that it has started. */
 export async function startServingProgram(options: ServingProgramOptions): Promise<ServingProgram> {
-  const { loader, storeAddress, ip, seeds = [], memoryMb = 0 } = options;
+  const { loader, storeAddress, ip, seeds = [], memoryMb = 0, retryShare } = options;
   const directory = mkdtempSync(join(tmpdir(), 'hyssopspread-'));
   const [callerPort, readinessPort, peerPort, linkPort] = await Promise.all([
     freePortOf(ip),
@@ -71,7 +73,11 @@
     'internal-ports': [linkPort],
     seeds,
     platform: { address: storeAddress },
-    bounds: { 'grace-s': 1, 'retry-slack': 200 },
+    bounds: {
+      'grace-s': 1,
+      'retry-slack': 200,
+      ...(retryShare !== undefined && { 'budget-ratio': retryShare }),
+    },
     limits: { 'memory-mb': memoryMb },
   };
   const file = join(directory, 'node.yaml');
--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -5,6 +5,7 @@
 import type { SocketReads } from '../http/mod.ts';
 import { limitOverhead } from './_connection.ts';
 import type { Connection } from './_connection.ts';
+import { probeServer } from './_probeServer.ts';
 import { Sending } from './_sending.ts';
 import { ConnectionsExhaustedError } from './connectionsExhaustedError.ts';
 
@@ -118,6 +119,11 @@
     return [...this.#all].some(({ isOpen, openedAt }) => isOpen && openedAt < time);
   }
 
+  /** Finds out whether the server accepts connections; `onResult` is called once, later. */
+  probe(onResult: (isListening: boolean) => void): void {
+    probeServer({ address: this.#options.address }, onResult);
+  }
+
   /** Closes all connections and aborts their requests. */
   close(): void {
     [...this.#all].forEach((connection) => this.#discard(connection));
--- a/tasks/gateway/_attempts.ts
+++ b/tasks/gateway/_attempts.ts
@@ -16,7 +16,6 @@
 import type { RequestEndings } from './_requestEndings.ts';
 import type { RetryBudgets } from './_retryBudgets.ts';
 import type { ServerAccess } from './_serverAccess.ts';
-import { SETTLE_MS } from './_serverEnds.ts';
 import type { ServerHealth } from './_serverHealth.ts';
 import type { ServerLimits } from './_serverLimits.ts';
 import type { ServerNotices } from './_serverNotices.ts';
@@ -106,17 +105,15 @@
         onFirstEvent: () => admission.noteFirstEvent(request),
         onUnreachable: () => health.noteUnreachable(server.id),
         onProvenSound: () => guard.noteSound(request),
-        onComplete: (isFramed) => {
+        onComplete: () => {
           caller.response.end();
           health.noteResponse(server.id);
-          if (isFramed) guard.noteSound(request);
-          else guard.noteUnframedEnd(request, view.server);
+          guard.noteSound(request);
           endings.finish(request, 'answered');
         },
-        onFailure: (outcome, detail, isConnectionLost) => {
-          if (isConnectionLost) guard.noteLost(request, view.server);
-          this.#handleFailure(request, outcome, detail, isConnectionLost);
-        },
+        onUnframedEnd: (onJudged) => guard.noteConnectionEnd(request, view.server, onJudged),
+        onFailure: (outcome, detail, isConnectionLost) =>
+          this.#handleFailure(request, outcome, detail, isConnectionLost),
       }),
     );
     scheduleAttemptTimeout(request, clock, (timeoutMs) =>
@@ -139,9 +136,13 @@
     detail: string,
     isConnectionLost = false,
   ): void {
-    const { clock, dispatch, endings, health, log, metrics, retryBudgets } = this.#options;
+    const { clock, dispatch, endings, guard, health, log, metrics, retryBudgets } = this.#options;
     const { rooms, table } = this.#options;
     const { view, head, route } = request;
+    let handleJudged = (): void => undefined;
+    if (isConnectionLost && view !== undefined) {
+      guard.noteConnectionEnd(request, view.server, () => handleJudged());
+    }
     clearAwaitingFirstByte(request);
     this.#options.admission.noteAttemptEnded(request);
     rooms.noteEnded(request, false);
@@ -171,10 +172,13 @@
     });
     const isFree = outcome === 'not-sent';
     if (step === 'again' && (isFree || retryBudgets.of(request.service.name).tryRetry())) {
-      // Not at once: the caller's close may have arrived together with the failure, and whether the server
-      // has ended is known only once all its connections have had time to close.
-      const delayMs = isConnectionLost ? SETTLE_MS + 1 : 0;
-      request.timers.push(clock.schedule(delayMs, () => dispatch(request)));
+      if (isConnectionLost) {
+        // Not at once: the caller's close may have arrived together with the failure, and a request that ends servers is not
+        // sent to another.
+        handleJudged = () => {
+          if (!request.isFinished) dispatch(request);
+        };
+      } else request.timers.push(clock.schedule(0, () => dispatch(request)));
     } else {
       endings.giveUp(request, step === 'again' ? 'retry-budget' : outcome);
     }
--- a/tasks/gateway/_crashGuard.ts
+++ b/tasks/gateway/_crashGuard.ts
@@ -6,7 +6,7 @@
 import type { Metrics } from '../../metrics/mod.ts';
 import { describeLost, describeServerEnd } from './_describeRequest.ts';
 import type { OpenRequest } from './_openRequest.ts';
-import { ServerEnds, SETTLE_MS } from './_serverEnds.ts';
+import { ServerEnds } from './_serverEnds.ts';
 import type { LostRequest, ServerEnd } from './_serverEnds.ts';
 
 /** Options of `CrashGuard`. */
@@ -23,6 +23,8 @@
   readonly openRequests: ReadonlySet<OpenRequest>;
   /** Whether a connection to the server that was opened before a point in time is still open. */
   readonly hasOpenSince: (server: BackendServer, time: Milliseconds) => boolean;
+  /** Finds out whether the server accepts connections; `onResult` is called once, later. */
+  readonly probe: (server: BackendServer, onResult: (isListening: boolean) => void) => void;
   /** Called when a server has ended. */
   readonly onServerEnd: (serverId: string) => void;
   /** Called when requests with a trait must no longer be sent. */
@@ -60,15 +62,13 @@
 
   readonly #serverEnds: ServerEnds;
 
-  /** When servers ended, by server id. */
-  readonly #endTimes = new Map<string, Milliseconds>();
-
   constructor(options: CrashGuardOptions) {
     const { metrics } = options;
     this.#options = options;
     this.#serverEnds = new ServerEnds({
       clock: options.clock,
       hasOpenSince: options.hasOpenSince,
+      probe: options.probe,
       onEnd: (end) => this.#handleEnd(end),
     });
     this.quarantine = this.#createQuarantine();
@@ -142,9 +142,18 @@
     this.#noteTrial(this.requestQuarantine, [request.requestTrait()], request);
   }
 
-  /** Records that the connection of a request was lost before its response was complete. */
-  noteLost(request: OpenRequest, server: BackendServer): void {
-    this.#serverEnds.noteLost(server, describeLost(request, this.#options.clock.now()));
+  /**
+   * Records that the connection of a request ended with its response, complete or not.
+   *
+   * @param onJudged Called once, later, with whether the server has ended.
+   */
+  noteConnectionEnd(
+    request: OpenRequest,
+    server: BackendServer,
+    onJudged: (hasEnded: boolean) => void,
+  ): void {
+    const lost = describeLost(request, this.#options.clock.now());
+    this.#serverEnds.noteConnectionEnd(server, lost, onJudged);
   }
 
   /** Records a response that is complete, or has been written for some time. */
@@ -156,25 +165,10 @@
     this.requestQuarantine.noteResponse(service.name, [requestTrait()], now);
   }
 
-  /** Records a response that ended with its connection; it is complete unless its server ended. */
-  noteUnframedEnd(request: OpenRequest, server: BackendServer): void {
-    const endedAt = this.#options.clock.now();
-    this.#options.clock.schedule(2 * SETTLE_MS, () => {
-      const serverEndedAt = this.#endTimes.get(server.id) ?? -Infinity;
-      if (serverEndedAt < endedAt - SETTLE_MS) this.noteSound(request);
-    });
-  }
-
-  /** Forgets a server that was removed. */
-  forget(serverId: string): void {
-    this.#endTimes.delete(serverId);
-  }
-
   #handleEnd(end: ServerEnd): void {
     const { clock, log, metrics } = this.#options;
     const { server, at, requests } = end;
     const { service } = server;
-    this.#endTimes.set(server.id, at);
     this.#options.onServerEnd(server.id);
     metrics.count('server_ends_total', { service });
     log('serverEnded', describeServerEnd(end, clock.now()));
--- a/tasks/gateway/_forwardResponse.ts
+++ b/tasks/gateway/_forwardResponse.ts
@@ -26,10 +26,13 @@
   readonly onUnreachable: () => void;
   /** Called once the response has been written for some time without crashing its server. */
   readonly onProvenSound: () => void;
+  /** Called once the complete response has been forwarded. */
+  readonly onComplete: () => void;
   /**
-   * Called once the complete response has been forwarded; without framing it ended with its connection.
+   * Called when a response without framing has ended with its connection. Then either `onComplete` or `onFailure` follows
+   * when `onJudged` is called with whether the server has ended.
    */
-  readonly onComplete: (isFramed: boolean) => void;
+  readonly onUnframedEnd: (onJudged: (hasEnded: boolean) => void) => void;
   /**
    * Called when the attempt yields no complete response; `isConnectionLost` tells that the connection ended
    * after the request had been sent.
@@ -109,6 +112,13 @@
     return isOk && !isFramed && request.route.isStream && !boundary.isBetweenEvents;
   }
 
+  /** Completes a response that ended with its connection, unless its server ended as well. */
+  function completeUnlessEnded(hasServerEnded: boolean): void {
+    if (!isCurrent()) return;
+    if (hasServerEnded) onFailure('unknown', 'the server ended with its response', false);
+    else options.onComplete();
+  }
+
   function startResponse(status: number, statusText: string, response: ResponseHeaders): void {
     request.view?.noteFirstByte(clock.now() - request.sentAt);
     clearAwaitingFirstByte(request);
@@ -168,7 +178,8 @@
       if (failure !== undefined) onFailure(failure, 'reported by the response head', false);
       else if (hasEndedInsideEvent()) {
         onFailure('unknown', 'the stream ended mid-event', true);
-      } else options.onComplete(isFramed);
+      } else if (isFramed) options.onComplete();
+      else options.onUnframedEnd(completeUnlessEnded);
     },
     failed: (error, wasSent) => {
       if (!isCurrent()) return;
--- a/tasks/gateway/_serverEnds.ts
+++ b/tasks/gateway/_serverEnds.ts
@@ -2,7 +2,7 @@
 import type { Trait } from '../../core/quarantine/mod.ts';
 import type { BackendServer } from '../../core/serving/mod.ts';
 
-/** A request whose connection to its server was lost. */
+/** A request whose connection to its server has ended. */
 export type LostRequest = {
   readonly requestId: string;
   readonly route: string;
@@ -32,43 +32,75 @@
   readonly clock: Clock;
   /** Whether a connection to the server that was opened before a point in time is still open. */
   readonly hasOpenSince: (server: BackendServer, time: Milliseconds) => boolean;
+  /** Finds out whether the server accepts connections; `onResult` is called once, later. */
+  readonly probe: (server: BackendServer, onResult: (isListening: boolean) => void) => void;
   /** Called with each end of a server. */
   readonly onEnd: (end: ServerEnd) => void;
 };
 
 /** Time within which the connections of a server that has ended close. */
-export const SETTLE_MS: Milliseconds = 30;
+const SETTLE_MS: Milliseconds = 30;
 
-/** Detects that a server has ended: all connections to it are lost while requests wait for responses. */
+/** The connections of one server that ended shortly after each other. */
+type ConnectionEnds = {
+  /** When the first of them ended. */
+  readonly at: Milliseconds;
+  readonly requests: LostRequest[];
+  /** Called with whether the server has ended. */
+  readonly onJudged: ((hasEnded: boolean) => void)[];
+};
+
+/**
+ * Detects that a server has ended: all its connections end while they carry responses, and it accepts no new one.
+ *
+ * A response without a length ends with its connection also if its server has ended, so only this tells whether it is complete.
+ */
 export class ServerEnds {
   readonly #options: ServerEndsOptions;
 
-  /** Requests lost lately at servers that are not judged yet, by server id. */
-  readonly #lost = new Map<
-    string,
-    { readonly at: Milliseconds; readonly requests: LostRequest[] }
-  >();
+  /** Connections that ended lately at servers that are not judged yet, by server id. */
+  readonly #ends = new Map<string, ConnectionEnds>();
 
   constructor(options: ServerEndsOptions) {
     this.#options = options;
   }
 
-  /** Records that the connection of a request was lost before its response was complete. */
-  noteLost(server: BackendServer, request: LostRequest): void {
-    const known = this.#lost.get(server.id);
+  /**
+   * Records that a connection ended with the response that it carried, complete or not.
+   *
+   * @param onJudged Called once, later, with whether the server has ended.
+   */
+  noteConnectionEnd(
+    server: BackendServer,
+    request: LostRequest,
+    onJudged: (hasEnded: boolean) => void,
+  ): void {
+    const known = this.#ends.get(server.id);
     if (known !== undefined) {
       known.requests.push(request);
+      known.onJudged.push(onJudged);
       return;
     }
-    const at = this.#options.clock.now();
-    this.#lost.set(server.id, { at, requests: [request] });
-    this.#options.clock.schedule(SETTLE_MS, () => this.#judge(server));
+    const { clock, hasOpenSince, probe } = this.#options;
+    const ends: ConnectionEnds = {
+      at: clock.now(),
+      requests: [request],
+      onJudged: [onJudged],
+    };
+    this.#ends.set(server.id, ends);
+    clock.schedule(SETTLE_MS, () => {
+      this.#ends.delete(server.id);
+      if (hasOpenSince(server, ends.at)) this.#judge(server, ends, false);
+      else probe(server, (isListening) => this.#judge(server, ends, !isListening));
+    });
   }
 
-  #judge(server: BackendServer): void {
-    const lost = this.#lost.get(server.id);
-    this.#lost.delete(server.id);
-    if (lost === undefined || this.#options.hasOpenSince(server, lost.at)) return;
-    this.#options.onEnd({ server, ...lost });
+  #judge(
+    server: BackendServer,
+    { at, requests, onJudged }: ConnectionEnds,
+    hasEnded: boolean,
+  ): void {
+    if (hasEnded) this.#options.onEnd({ server, at, requests });
+    onJudged.forEach((run) => run(hasEnded));
   }
 }
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -188,7 +188,6 @@
         this.#health.forget(id);
         this.#limits.forget(id);
         this.#rooms.forget(id);
-        this.#guard.forget(id);
         this.#admission.forget(id);
       },
     });
@@ -196,6 +195,7 @@
       ...common,
       openRequests: this.#openRequests,
       hasOpenSince: (server, time) => this.#table.connectionsOf(server).hasOpenSince(time),
+      probe: (server, onResult) => this.#table.connectionsOf(server).probe(onResult),
       onServerEnd: (id) => this.#health.noteUnreachable(id),
       onQuarantined: (trait) => this.#gate.rejectAll(trait, this.#openRequests),
     });
