Judge each response by the time of its own end

A response without a length that ended up to 30 ms after another one of its server was judged at the other's time, when the connections of a server that was just killed may not have closed yet: a truncated one could be completed. An idle connection counted as open until the client reported its end, which is after the turn in which the socket was read.

ServerEnds now gives each connection end its own 30 ms, and reports the end of a server once with all of them; a connection whose socket has ended no longer counts as open.

--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -116,7 +116,11 @@
    * most likely ended.
    */
   hasOpenSince(time: Milliseconds): boolean {
-    return [...this.#all].some(({ isOpen, openedAt }) => isOpen && openedAt < time);
+    return [...this.#all].some(
+      ({ isOpen, openedAt, socket }) =>
+        // The client reports the end of a socket turns of the event loop later.
+        isOpen && openedAt < time && socket?.destroyed === false && !socket.readableEnded,
+    );
   }
 
   /** Finds out whether the server accepts connections; `onResult` is called once, later. */
--- a/tasks/gateway/_serverEnds.ts
+++ b/tasks/gateway/_serverEnds.ts
@@ -41,25 +41,24 @@
 /** Time within which the connections of a server that has ended close. */
 const SETTLE_MS: Milliseconds = 30;
 
-/** The connections of one server that ended shortly after each other. */
-type ConnectionEnds = {
-  /** When the first of them ended. */
+/** A connection that ended with the response that it carried. */
+type ConnectionEnd = {
   readonly at: Milliseconds;
-  readonly requests: LostRequest[];
+  readonly request: LostRequest;
   /** Called with whether the server has ended. */
-  readonly onJudged: ((hasEnded: boolean) => void)[];
+  readonly onJudged: (hasEnded: boolean) => void;
 };
 
 /**
- * Detects that a server has ended: all its connections end while they carry responses, and it accepts no new one.
+ * Detects that a server has ended: all its connections end, and it accepts no new one.
  *
  * A response without a length ends with its connection also if its server has ended, so only this tells whether it is complete.
  */
 export class ServerEnds {
   readonly #options: ServerEndsOptions;
 
-  /** Connections that ended lately at servers that are not judged yet, by server id. */
-  readonly #ends = new Map<string, ConnectionEnds>();
+  /** Connections that ended lately and are not judged yet, by server id. */
+  readonly #unjudged = new Map<string, ConnectionEnd[]>();
 
   constructor(options: ServerEndsOptions) {
     this.#options = options;
@@ -75,32 +74,36 @@
     request: LostRequest,
     onJudged: (hasEnded: boolean) => void,
   ): void {
-    const known = this.#ends.get(server.id);
-    if (known !== undefined) {
-      known.requests.push(request);
-      known.onJudged.push(onJudged);
+    const { clock } = this.#options;
+    const end: ConnectionEnd = { at: clock.now(), request, onJudged };
+    const unjudged = this.#unjudged.get(server.id);
+    if (unjudged === undefined) this.#unjudged.set(server.id, [end]);
+    else unjudged.push(end);
+    clock.schedule(SETTLE_MS, () => this.#settle(server, end));
+  }
+
+  /** Judges a connection end by itself if others are open, else together with all later ones. */
+  #settle(server: BackendServer, end: ConnectionEnd): void {
+    const { hasOpenSince, probe } = this.#options;
+    const unjudged = this.#unjudged.get(server.id) ?? [];
+    if (!unjudged.includes(end)) return;
+    if (hasOpenSince(server, end.at)) {
+      const rest = unjudged.filter((each) => each !== end);
+      if (rest.length > 0) this.#unjudged.set(server.id, rest);
+      else this.#unjudged.delete(server.id);
+      end.onJudged(false);
       return;
     }
-    const { clock, hasOpenSince, probe } = this.#options;
-    const ends: ConnectionEnds = {
-      at: clock.now(),
-      requests: [request],
-      onJudged: [onJudged],
-    };
-    this.#ends.set(server.id, ends);
-    clock.schedule(SETTLE_MS, () => {
-      this.#ends.delete(server.id);
-      if (hasOpenSince(server, ends.at)) this.#judge(server, ends, false);
-      else probe(server, (isListening) => this.#judge(server, ends, !isListening));
-    });
+    this.#unjudged.delete(server.id);
+    probe(server, (isListening) => this.#judge(server, unjudged, !isListening));
   }
 
-  #judge(
-    server: BackendServer,
-    { at, requests, onJudged }: ConnectionEnds,
-    hasEnded: boolean,
-  ): void {
-    if (hasEnded) this.#options.onEnd({ server, at, requests });
-    onJudged.forEach((run) => run(hasEnded));
+  #judge(server: BackendServer, ends: readonly ConnectionEnd[], hasEnded: boolean): void {
+    const [first] = ends;
+    if (hasEnded && first !== undefined) {
+      const requests = ends.map(({ request }) => request);
+      this.#options.onEnd({ server, at: first.at, requests });
+    }
+    ends.forEach(({ onJudged }) => onJudged(hasEnded));
   }
 }
