Take a service's reply whose connection was reset for lost

Callers of a plain service got a part of a reply as all of it, with the outcome `done`, and the ledger kept that part for the idempotency key, if the service sent a reply without a length and its connection was reset.

Cause: undici completes such a response at a reset, whether the socket reports it as ECONNRESET or, if it was read together with bytes, as an end.

Change: http/ has an agent whose responses fail if their connection was reset before their end; calls to services use it, so that the outcome is `unknown`. A service whose process ends closes its connections without a reset: such a reply still counts as whole.

--- a/http/mod.ts
+++ b/http/mod.ts
@@ -1,6 +1,8 @@
-/** Helpers for HTTP servers, the intake of requests, and a parser of server-sent events. @module */
+/** Helpers for HTTP servers, an agent of HTTP clients, the intake of requests, and a parser of server-sent events. @module */
 export { CallerLimiter } from './callerLimiter.ts';
 export type { CallerLimiterOptions, ReadingRequest } from './callerLimiter.ts';
+export { createHttpAgent } from './createHttpAgent.ts';
+export type { HttpAgentOptions } from './createHttpAgent.ts';
 export { isDisconnected } from './isDisconnected.ts';
 export { listenHttp } from './listen.ts';
 export type { HttpAddress, HttpHandler, HttpListener } from './listen.ts';
--- a/sidecar/createHttpService.ts
+++ b/sidecar/createHttpService.ts
@@ -1,5 +1,6 @@
-import { Agent, request } from 'undici';
+import { request } from 'undici';
 import type { Milliseconds } from '../core/clock/mod.ts';
+import { createHttpAgent } from '../http/mod.ts';
 import type { PlainService } from '../tasks/ports/mod.ts';
 import { isConnectError } from './createHttpEngine.ts';
 
@@ -21,7 +22,7 @@
  */
 export function createHttpService(options: HttpServiceOptions): PlainService {
   const { url, timeoutMs = 30_000 } = options;
-  const agent = new Agent({ maxResponseSize: MAX_REPLY_BYTES });
+  const agent = createHttpAgent({ maxResponseBytes: MAX_REPLY_BYTES });
   return {
     call: async (body) => {
       try {
--- a/tools/build/libraryModules.ts
+++ b/tools/build/libraryModules.ts
@@ -13,6 +13,7 @@
     Dispatcher.prototype.request = request;
     export { default as Agent } from 'undici/lib/dispatcher/agent.js';
     export { default as Client } from 'undici/lib/dispatcher/client.js';
+    export { default as Pool } from 'undici/lib/dispatcher/pool.js';
     export { default as buildConnector } from 'undici/lib/core/connect.js';
   `,
   'hdr-histogram-js': `
