Fail the read of a configuration value whose connection was reset

The log called a value corrupted or not JSON and had the operator publish it again, if the configuration service sent it without a length and its connection was reset: the value was whole in the service. No part of a set came into force, since the digests of the manifest and of all parts are verified.

Cause: undici completes such a response at a reset.

Change: values are read with the agent of the services' calls, so that a reset fails the read, which is logged as such and retried. Host lists are JSON, whose parts do not parse; they stay as they were.

--- a/publishing/platformClients.ts
+++ b/publishing/platformClients.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from 'undici';
 import { z } from 'zod';
+import { createHttpAgent } from '../http/mod.ts';
 import type { Configuration, ConfigurationValue, HostList } from '../tasks/ports/mod.ts';
 
 const NOT_FOUND_STATUS = 404;
@@ -46,7 +47,7 @@
  * @param url Base URL, such as `http://10.0.0.9:8500`.
  */
 export function createHttpConfiguration(url: string): Configuration & Closeable {
-  const agent = new Agent({ maxResponseSize: MAX_VALUE_BYTES });
+  const agent = createHttpAgent({ maxResponseBytes: MAX_VALUE_BYTES });
   return {
     read: (name) => readValue(agent, `${url}/v1/values/${name}`),
     watch: (name, revision) =>
