End a paused response with its connection

Callers that read slowly got no end of a response without a length, and lost responses with a length that were complete.

Cause: the client pauses its parser when a caller's buffer is full. If the connection ended then, with all bytes read, the client asserted that the parser is not paused: the error was uncaught, was logged by the process, and the request stayed open. A response with a length lacked only the parser's last step and failed.

Change: the body is resumed at the end of the socket, before the client learns of it; a reset that is reported as an error no longer has the client complete a response without a length.

--- a/proxy/_connection.ts
+++ b/proxy/_connection.ts
@@ -13,6 +13,8 @@
   socket: Socket | undefined;
   /** Called when the current response has more bytes outside its body than any sound one. */
   onOverhead: () => void;
+  /** Resumes the body of the current response; called when the socket has ended and all bytes are read. */
+  onSocketEnd: () => void;
   /** Set when the socket fails, which undici reports as the regular end of some responses. */
   readonly socketState: { wasReset: boolean };
   /** Whether requests can be written. */
--- a/proxy/_sending.ts
+++ b/proxy/_sending.ts
@@ -68,6 +68,7 @@
     connection.bodyBytes = 0;
     connection.bytesReadBefore = connection.socket?.bytesRead ?? 0;
     connection.onOverhead = () => this.#fail(new Error('the response has no end outside its body'));
+    connection.onSocketEnd = () => this.#resumeBody();
     this.#cancelTimeout = readFirstClock.schedule(connectTimeoutMs, () => {
       if (connection.socket !== undefined) return;
       this.#fail(new Error(`no connection within ${connectTimeoutMs} ms`));
@@ -137,6 +138,8 @@
           return false;
         },
         onData: (chunk) => {
+          // The parser repeats its last call without bytes when it resumes.
+          if (chunk.length === 0) return true;
           connection.bodyBytes += chunk.length;
           return this.#isFinished ? false : events.data(chunk);
         },
--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -69,6 +69,9 @@
   },
 };
 
+/** Error code of a reset. */
+const RESET_CODE = 'UND_ERR_SOCKET';
+
 /** Idle time after which a connection is closed; shorter than that of backend servers. */
 const IDLE_TIMEOUT_MS: Milliseconds = 4000;
 
@@ -172,6 +175,7 @@
       bytesReadBefore: 0,
       socket: undefined,
       onOverhead: () => undefined,
+      onSocketEnd: () => undefined,
       socketState,
       isOpen: false,
       openedAt: 0,
@@ -190,11 +194,16 @@
   /** Has a new socket used, which its request may be written to at once. */
   #adopt(connection: Connection, socket: Socket, callback: buildConnector.Callback): void {
     connection.socket = socket;
-    socket.once('error', () => {
+    // Before undici, which asserts at the end of a connection that the body is not paused.
+    socket.prependOnceListener('error', (error: NodeJS.ErrnoException) => {
       connection.socketState.wasReset = true;
+      // undici takes a response without a length as complete at this code; any other fails it.
+      if (error.code === 'ECONNRESET') error.code = RESET_CODE;
     });
     // Before undici, which completes a response without a length at this event.
     socket.prependOnceListener('end', () => {
+      // Completes a response with a length, which a reset after it leaves whole.
+      connection.onSocketEnd();
       if (isDisconnected(socket)) connection.socketState.wasReset = true;
     });
     this.#options.socketReads.afterRead(() => {
--- /dev/null
+++ b/proxy/endedConnections.test.ts
@@ -0,0 +1,101 @@
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import { pauseProcess } from '../transport/testing/pauseProcess.ts';
+import { BackendConnections } from './mod.ts';
+
+const BODY = 'hello';
+
+const LENGTH = `HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n${BODY}`;
+
+const TO_THE_CLOSE = `HTTP/1.1 200 OK\r\n\r\n${BODY}`;
+
+/** Time after which a slow caller has read a chunk. */
+const SLOW_READ_MS = 40;
+
+/** How a server ends its connection once it has written. */
+const ENDINGS: Readonly<Record<string, (socket: Socket) => void>> = {
+  close: (socket) => socket.end(),
+  reset: (socket) => socket.resetAndDestroy(),
+  'late reset': (socket) => setTimeout(() => socket.resetAndDestroy(), SLOW_READ_MS / 4),
+};
+
+describe('a connection to a backend server that ends', () => {
+  let server: Server;
+  let connections: BackendConnections;
+  let respond: (socket: Socket) => void;
+  let sockets: Socket[];
+
+  /** Sends a request; resolves with `whole` or `failed` and the body, or to `open` after a while. */
+  function send(readMs = 0): Promise<string> {
+    const request = { method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+    let body = '';
+    const result = new Promise<string>((resolve) => {
+      const handle = connections.send(
+        { ...request, needsRecentConnection: false },
+        {
+          head: () => true,
+          data: (chunk) => {
+            body += chunk.toString('latin1');
+            if (readMs > 0) setTimeout(() => handle.resume(), readMs);
+            return readMs === 0;
+          },
+          end: () => resolve(`whole ${body}`),
+          failed: () => resolve(`failed ${body}`),
+        },
+      );
+    });
+    return Promise.race([result, sleep(1000, 'open', { ref: false })]);
+  }
+
+  /** Writes a text and ends the connection; both are read together. */
+  function writeAndEnd(text: string, ending: string): (socket: Socket) => void {
+    return (socket) => {
+      socket.write(text, () => {
+        ENDINGS[ending]!(socket);
+        pauseProcess(2);
+      });
+    };
+  }
+
+  beforeEach(async () => {
+    sockets = [];
+    server = createServer((socket) => {
+      sockets.push(socket);
+      socket.on('error', () => undefined);
+      socket.on('data', () => respond(socket));
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    connections = new BackendConnections({ address: `127.0.0.1:${port}` });
+  });
+
+  afterEach(async () => {
+    connections.close();
+    sockets.forEach((socket) => socket.destroy());
+    server.close();
+    await once(server, 'close');
+  });
+
+  // Guards against an assertion of undici that the body is not paused, and against resets taken for a regular end.
+  describe('while its caller reads slowly', () => {
+    const cases: readonly (readonly [string, string, string, string])[] = [
+      ['without a length', TO_THE_CLOSE, 'close', 'whole'],
+      ['without a length', TO_THE_CLOSE, 'reset', 'failed'],
+      ['without a length', TO_THE_CLOSE, 'late reset', 'failed'],
+      ['with a length', LENGTH, 'close', 'whole'],
+      ['with a length', LENGTH, 'reset', 'whole'],
+    ];
+    cases.forEach(([kind, text, ending, expected]) => {
+      it(`gives a ${expected} response ${kind} after a ${ending}`, async () => {
+        respond = writeAndEnd(text, ending);
+        expect(await send(SLOW_READ_MS)).to.equal(`${expected} ${BODY}`);
+        // Further errors of the connection would come up to here.
+        await sleep(SLOW_READ_MS);
+      });
+    });
+  });
+});
