Reset the connection of each caller that knows no chunks after a truncated response

Callers of HTTP/1.0 got a truncated response, which its server had sent in chunks, as a complete one: without chunks it goes out up to the end of the connection, and was aborted by a regular close, as were responses without a length to other versions than 1.0.

Change: whether a response ends with its connection follows from what goes out: no length, and no chunks. The field `isFramed` of the head had no other use.

--- a/proxy/callerServer.test.ts
+++ b/proxy/callerServer.test.ts
@@ -27,7 +27,7 @@
 
   function respondOk({ response: to }: CallerRequest): void {
     const headers = ['content-length', '2'];
-    to.begin({ status: 200, statusText: 'OK', headers, isFramed: true });
+    to.begin({ status: 200, statusText: 'OK', headers });
     to.end('ok');
   }
 
@@ -254,7 +254,6 @@
         status: 404,
         statusText: 'Not Found',
         headers: ['content-length', '0'],
-        isFramed: true,
       });
       waiting[0]!.response.end();
       expect(await connection.until(/ok$/)).to.match(/^HTTP\/1\.1 404 [^]*HTTP\/1\.1 200 /);
@@ -290,7 +289,7 @@
       let isHeldBack = false;
       let drained: (() => void) | undefined;
       respond = ({ response: to }) => {
-        to.begin({ status: 200, statusText: 'OK', headers: [], isFramed: true });
+        to.begin({ status: 200, statusText: 'OK', headers: [] });
         const more = (): void => {
           while (written < 200) {
             written += 1;
@@ -334,7 +333,7 @@
     it('does not look complete, with a length or in chunks', async () => {
       for (const headers of [['content-length', '9'], []]) {
         respond = ({ response: to }) => {
-          to.begin({ status: 200, statusText: 'OK', headers, isFramed: true });
+          to.begin({ status: 200, statusText: 'OK', headers });
           to.write(Buffer.from('abc'));
           setImmediate(() => to.abort());
         };
--- a/proxy/callerServer.ts
+++ b/proxy/callerServer.ts
@@ -23,13 +23,11 @@
 export type CallerResponseHead = {
   readonly status: number;
   readonly statusText: string;
-  /** Alternating names and values. */
-  readonly headers: readonly string[];
   /**
-   * Whether the headers have the length of the body, or it came in chunks. Otherwise it is forwarded in chunks, or up to
-   * the end of the connection to a caller that knows no chunks.
+   * Alternating names and values. Without a length the body is sent in chunks, or up to the end of the connection to a
+   * caller that knows no chunks.
    */
-  readonly isFramed: boolean;
+  readonly headers: readonly string[];
 };
 
 /** The response to one request. */
@@ -104,6 +102,11 @@
   );
 }
 
+/** Whether alternating names and values have the length of the body. */
+function hasLength(headers: readonly string[]): boolean {
+  return headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+}
+
 /** Rejects a request that exceeds a limit; discards the rest and closes the connection. */
 function rejectRequest(
   request: IncomingMessage,
@@ -359,10 +362,10 @@
   #createResponse(request: IncomingMessage, response: ServerResponse): CallerResponse {
     let endsWithConnection = false;
     return {
-      begin: ({ status, statusText, headers, isFramed }) => {
-        endsWithConnection = !isFramed && request.httpVersion === '1.0';
+      begin: ({ status, statusText, headers }) => {
+        // A truncated response in chunks never looks complete, even if this process ends.
+        endsWithConnection = !response.useChunkedEncodingByDefault && !hasLength(headers);
         if (this.#isDraining || endsWithConnection) response.shouldKeepAlive = false;
-        if (endsWithConnection) response.useChunkedEncodingByDefault = false;
         response.writeHead(status, statusText, [...headers]);
       },
       write: (chunk) => response.write(chunk),
--- a/tasks/gateway/_forwardResponse.ts
+++ b/tasks/gateway/_forwardResponse.ts
@@ -127,7 +127,7 @@
     if (caller.response.hasBegun()) return;
     if (isOk) options.onBegun();
     const { forwardedHeaders } = response;
-    caller.response.begin({ status, statusText, headers: forwardedHeaders, isFramed });
+    caller.response.begin({ status, statusText, headers: forwardedHeaders });
   }
 
   return {
--- a/tasks/gateway/_respondLocally.ts
+++ b/tasks/gateway/_respondLocally.ts
@@ -49,7 +49,6 @@
     status,
     statusText: text,
     headers: ['Content-Length', '0', ...retryHeaders],
-    isFramed: true,
   });
   caller.response.end();
 }
