--- a/tasks/gateway/_forwardResponse.ts
+++ b/tasks/gateway/_forwardResponse.ts
@@ -49,6 +49,13 @@
 /** Bytes of a body that is not forwarded; it is read only so that its connection can be used again. */
 const MAX_DISCARDED_BYTES = 65_536;
 
+/** Statuses of responses that never have a body. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+function hasNoBody(method: string, status: number): boolean {
+  return method === 'HEAD' || BODYLESS_STATUSES.has(status);
+}
+
 /** Records that the current attempt no longer waits for a response: it has started or will not. */
 export function clearAwaitingFirstByte(request: OpenRequest): void {
   if (!request.isAwaitingFirstByte) return;
@@ -134,7 +141,7 @@
     head: (status, headers, statusText) => {
       if (!isCurrent()) return false;
       const response = decodeResponseHeaders(headers);
-      isFramed = response.isFramed;
+      isFramed = response.isFramed || hasNoBody(caller.method, status);
       isOk = status === OK_STATUS;
       options.onHead(status, response);
       const verdict = classifyHead(request, status, response);
