Replace a kept connection that ends before its next request

A server that closed or reset a kept connection just before the next request counted as unreachable, and got no requests for 250 ms or longer. No byte of the request had been sent.

Cause: the pool learned of the end only when the client reported it, turns of the event loop after the socket was read; a response and a reset in the same read returned their connection to the pool. The request then failed as not sent, which is how an attempt to open a connection fails.

Change: a connection whose socket has ended is not reused, and a request that was not written to a kept connection takes another. A closed pool opens no connection.

--- a/proxy/_sending.ts
+++ b/proxy/_sending.ts
@@ -107,6 +107,7 @@
   #write(connection: Connection): void {
     const { request, events, release, socketReads } = this.#options;
     let isUnread = false;
+    const isKept = connection.socket !== undefined;
     connection.client.dispatch(
       {
         method: request.method,
@@ -155,7 +156,9 @@
           setImmediate(() => release(connection));
         },
         onError: (error) => {
-          if (isUnread && !this.#isFinished) this.start();
+          // A kept connection that ended before it was written to says nothing of its server.
+          const isUnused = isUnread || (isKept && !this.#wasSent);
+          if (isUnused && !this.#isFinished) this.start();
           else this.#fail(error);
         },
       },
--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -72,6 +72,11 @@
 /** Error code of a reset. */
 const RESET_CODE = 'UND_ERR_SOCKET';
 
+/** Whether neither end has closed a socket; the client reports that turns of the event loop later. */
+function isWhole(socket: Socket | undefined): boolean {
+  return socket?.destroyed === false && !socket.readableEnded;
+}
+
 /** Idle time after which a connection is closed; shorter than that of backend servers. */
 const IDLE_TIMEOUT_MS: Milliseconds = 4000;
 
@@ -88,6 +93,8 @@
 
   readonly #all = new Set<Connection>();
 
+  #isClosed = false;
+
   constructor(options: BackendConnectionsOptions) {
     this.#options = {
       maxConnections: 90,
@@ -120,9 +127,7 @@
    */
   hasOpenSince(time: Milliseconds): boolean {
     return [...this.#all].some(
-      ({ isOpen, openedAt, socket }) =>
-        // The client reports the end of a socket turns of the event loop later.
-        isOpen && openedAt < time && socket?.destroyed === false && !socket.readableEnded,
+      ({ isOpen, openedAt, socket }) => isOpen && openedAt < time && isWhole(socket),
     );
   }
 
@@ -133,17 +138,21 @@
 
   /** Closes all connections and aborts their requests. */
   close(): void {
+    this.#isClosed = true;
     [...this.#all].forEach((connection) => this.#discard(connection));
   }
 
   #acquire(needsRecent: boolean): Connection {
+    if (this.#isClosed) throw new Error('the connections to the server are closed');
     const now = performance.now();
     for (;;) {
       const connection = this.#idle.pop();
       if (connection === undefined) break;
       const idleMs = now - connection.idleSince;
       const isUsable =
-        connection.isOpen && idleMs < (needsRecent ? this.#options.recentIdleMs : IDLE_TIMEOUT_MS);
+        connection.isOpen &&
+        isWhole(connection.socket) &&
+        idleMs < (needsRecent ? this.#options.recentIdleMs : IDLE_TIMEOUT_MS);
       if (isUsable) return connection;
       this.#discard(connection);
     }
--- a/proxy/endedConnections.test.ts
+++ b/proxy/endedConnections.test.ts
@@ -98,4 +98,35 @@
       });
     });
   });
+
+  describe('between two requests', () => {
+    ['', LENGTH].forEach((text) => {
+      ['close', 'reset'].forEach((ending) => {
+        // Guards against a server that counts as unreachable because a kept connection ended.
+        it(`lets the next one use another after ${text.length} bytes and a ${ending}`, async () => {
+          respond = (socket) => socket.write(LENGTH.replace(BODY, 'fresh'));
+          expect(await send()).to.equal('whole fresh');
+          await sleep(5);
+          const next = new Promise<string>((resolve) => {
+            sockets[0]!.write(text, () => {
+              ENDINGS[ending]!(sockets[0]!);
+              resolve(send());
+            });
+          });
+          expect(await next).to.equal('whole fresh');
+          expect(sockets).to.have.length(2);
+        });
+      });
+    });
+
+    it('is not used again when a reset was read with its response', async () => {
+      respond = writeAndEnd(LENGTH, 'reset');
+      for (let number = 0; number < 20; number += 1) {
+        expect(await send()).to.equal(`whole ${BODY}`);
+        // The connection returns to the pool before its close is reported.
+        await new Promise(setImmediate);
+      }
+      expect(sockets).to.have.length(20);
+    });
+  });
 });
