Complete a response at the last byte of its length

A response with a length whose bytes had all arrived failed if its connection was reset while its caller read slowly, and its connection stayed occupied until the caller had read.

Cause: the body was paused at its last byte, so that the client did not see that the response was complete.

Change: the body is not paused once the bytes of its length have arrived.

--- a/proxy/_sending.ts
+++ b/proxy/_sending.ts
@@ -26,6 +26,14 @@
 
 const LAST_STATUS = 599;
 
+/** Returns the length that a response head declares; `undefined` if it declares none. */
+function declaredLength(raw: readonly string[]): number | undefined {
+  const index = raw.findIndex(
+    (text, at) => at % 2 === 0 && text.toLowerCase() === 'content-length',
+  );
+  return index < 0 ? undefined : Number(raw[index + 1]);
+}
+
 const doNothing = (): void => undefined;
 
 /**
@@ -78,7 +86,8 @@
 
   /** Resumes a paused response body. */
   resume(): void {
-    this.#resumeBody();
+    // The connection may carry another response by then.
+    if (!this.#isFinished) this.#resumeBody();
   }
 
   /** Aborts the request and closes its connection; no handler is called afterwards. */
@@ -107,6 +116,7 @@
   #write(connection: Connection): void {
     const { request, events, release, socketReads } = this.#options;
     let isUnread = false;
+    let bodyLength: number | undefined;
     const isKept = connection.socket !== undefined;
     connection.client.dispatch(
       {
@@ -134,6 +144,7 @@
           }
           if (this.#isFinished || status < FIRST_FINAL_STATUS) return true;
           const raw = (headers ?? []).map((part) => part.toString('latin1'));
+          bodyLength = declaredLength(raw);
           if (events.head(status, raw, statusText)) return true;
           this.abort();
           return false;
@@ -142,7 +153,10 @@
           // The parser repeats its last call without bytes when it resumes.
           if (chunk.length === 0) return true;
           connection.bodyBytes += chunk.length;
-          return this.#isFinished ? false : events.data(chunk);
+          if (this.#isFinished) return false;
+          const canTakeMore = events.data(chunk);
+          // A reset while the body is paused would lose a response that is complete.
+          return canTakeMore || (!this.#isFinished && connection.bodyBytes === bodyLength);
         },
         onComplete: () => {
           if (this.#isFinished) return;
--- a/proxy/endedConnections.test.ts
+++ b/proxy/endedConnections.test.ts
@@ -88,6 +88,7 @@
       ['without a length', TO_THE_CLOSE, 'late reset', 'failed'],
       ['with a length', LENGTH, 'close', 'whole'],
       ['with a length', LENGTH, 'reset', 'whole'],
+      ['with a length', LENGTH, 'late reset', 'whole'],
     ];
     cases.forEach(([kind, text, ending, expected]) => {
       it(`gives a ${expected} response ${kind} after a ${ending}`, async () => {
