Judge the end of a server by read connections and by refusals only

- A probe that an earlier response caused judged later ones before their own 30 ms.

Change: connections that are not read do not count; the pool of the attempt is asked; only a refused connection shows an end, a reset one is tried again; a response that is not lost is no suspect of the end; one that waited for its caller is complete only while the server's record is that of the same run; one of a server that leaves is complete. The kill of a server that leaves thus stays unnoticed for streams that can't be resumed.

--- a/proxy/_connection.ts
+++ b/proxy/_connection.ts
@@ -19,6 +19,8 @@
   readonly socketState: { wasReset: boolean };
   /** Whether requests can be written. */
   isOpen: boolean;
+  /** Whether the current response is not read, so that the end of the connection is not known. */
+  isPaused: boolean;
   openedAt: Milliseconds;
   idleSince: Milliseconds;
 };
--- a/proxy/_sending.ts
+++ b/proxy/_sending.ts
@@ -74,6 +74,7 @@
     }
     this.#connection = connection;
     connection.bodyBytes = 0;
+    connection.isPaused = false;
     connection.bytesReadBefore = connection.socket?.bytesRead ?? 0;
     connection.onOverhead = () => this.#fail(new Error('the response has no end outside its body'));
     connection.onSocketEnd = () => this.#resumeBody();
@@ -87,7 +88,9 @@
   /** Resumes a paused response body. */
   resume(): void {
     // The connection may carry another response by then.
-    if (!this.#isFinished) this.#resumeBody();
+    if (this.#isFinished || this.#connection === undefined) return;
+    this.#connection.isPaused = false;
+    this.#resumeBody();
   }
 
   /** Aborts the request and closes its connection; no handler is called afterwards. */
@@ -156,7 +159,9 @@
           if (this.#isFinished) return false;
           const canTakeMore = events.data(chunk);
           // A reset while the body is paused would lose a response that is complete.
-          return canTakeMore || (!this.#isFinished && connection.bodyBytes === bodyLength);
+          const isLast = !this.#isFinished && connection.bodyBytes === bodyLength;
+          connection.isPaused = !canTakeMore && !isLast;
+          return !connection.isPaused;
         },
         onComplete: () => {
           if (this.#isFinished) return;
--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -6,6 +6,7 @@
 import { limitOverhead } from './_connection.ts';
 import type { Connection } from './_connection.ts';
 import { probeServer } from './_probeServer.ts';
+import type { ProbeResult } from './_probeServer.ts';
 import { Sending } from './_sending.ts';
 import { ConnectionsExhaustedError } from './connectionsExhaustedError.ts';
 
@@ -122,17 +123,18 @@
   }
 
   /**
-   * Whether a connection that was opened before a point in time is still open; if none is, the server has
-   * most likely ended.
+   * Whether a connection that was opened before a point in time is still open, as far as it is read; then the
+   * server has not ended.
    */
   hasOpenSince(time: Milliseconds): boolean {
     return [...this.#all].some(
-      ({ isOpen, openedAt, socket }) => isOpen && openedAt < time && isWhole(socket),
+      ({ isOpen, isPaused, openedAt, socket }) =>
+        isOpen && !isPaused && openedAt < time && isWhole(socket),
     );
   }
 
   /** Finds out whether the server accepts connections; `onResult` is called once, later. */
-  probe(onResult: (isListening: boolean) => void): void {
+  probe(onResult: (result: ProbeResult) => void): void {
     probeServer({ address: this.#options.address }, onResult);
   }
 
@@ -187,6 +189,7 @@
       onSocketEnd: () => undefined,
       socketState,
       isOpen: false,
+      isPaused: false,
       openedAt: 0,
       idleSince: 0,
     };
--- a/proxy/endedConnections.test.ts
+++ b/proxy/endedConnections.test.ts
@@ -130,4 +130,34 @@
       expect(sockets).to.have.length(20);
     });
   });
+
+  // Guards against a connection to a server that has ended and counts as open, since nobody reads it.
+  it('does not count as open while its response is not read', async () => {
+    respond = (socket) => socket.write(TO_THE_CLOSE);
+    connections.send(
+      {
+        method: 'GET',
+        path: '/',
+        headers: [],
+        body: Buffer.alloc(0),
+        needsRecentConnection: false,
+      },
+      { head: () => true, data: () => false, end: () => undefined, failed: () => undefined },
+    );
+    while (sockets.length === 0) await sleep(5);
+    sockets[0]!.destroy();
+    await sleep(SLOW_READ_MS);
+    expect(connections.hasOpenSince(performance.now())).to.equal(false);
+  });
+
+  ['accepts', 'refuses'].forEach((result) => {
+    it(`is told apart by a probe from one to a server that ${result} others`, async () => {
+      if (result === 'refuses') server.close();
+      const found = await new Promise((resolve) => {
+        connections.probe(resolve);
+      });
+      expect(found).to.equal(result);
+      if (result === 'refuses') server.listen(0, '127.0.0.1');
+    });
+  });
 });
--- a/proxy/mod.ts
+++ b/proxy/mod.ts
@@ -15,3 +15,4 @@
   EarlyRequest,
   CallerServerOptions,
 } from './callerServer.ts';
+export type { ProbeResult } from './_probeServer.ts';
--- a/tasks/gateway/_attempts.ts
+++ b/tasks/gateway/_attempts.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../core/clock/mod.ts';
 import { MISDIRECTED_STATUS, nextStep } from '../../core/dispatch/mod.ts';
 import type { AttemptOutcome, ServerView } from '../../core/dispatch/mod.ts';
+import type { BackendServer } from '../../core/serving/mod.ts';
 import type { SocketReads } from '../../http/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
@@ -9,13 +10,14 @@
 import { scheduleAttemptTimeout } from './_attemptTimeout.ts';
 import type { CallerGate } from './_callerGate.ts';
 import type { CrashGuard } from './_crashGuard.ts';
-import { describeSendingEnd } from './_describeRequest.ts';
+import { describeLost, describeSendingEnd } from './_describeRequest.ts';
 import { clearAwaitingFirstByte, forwardResponse } from './_forwardResponse.ts';
 import type { OpenRequest } from './_openRequest.ts';
 import { outboundRequest } from './_outboundRequest.ts';
 import type { RequestEndings } from './_requestEndings.ts';
 import type { RetryBudgets } from './_retryBudgets.ts';
 import type { ServerAccess } from './_serverAccess.ts';
+import type { ServerConnections } from './_serverEnds.ts';
 import type { ServerHealth } from './_serverHealth.ts';
 import type { ServerLimits } from './_serverLimits.ts';
 import type { ServerNotices } from './_serverNotices.ts';
@@ -76,6 +78,7 @@
     request.sentAt = now;
     request.writingSince = undefined;
     request.isProvenSound = false;
+    request.wasPaused = false;
     guard.noteSent(request);
     limits.noteSent(server.id);
     rooms.noteSent(request, view);
@@ -85,7 +88,8 @@
     view.awaitingFirstByte += 1;
     table.noteSent(view, head.modelName);
     admission.noteSent(request, view);
-    request.attempt = table.connectionsOf(server).send(
+    const connections = table.connectionsOf(server);
+    request.attempt = connections.send(
       {
         ...outboundRequest(request, view, adapterVersions.minOf(head.modelName), now),
         onWrite: () => this.#noteUnread(request),
@@ -111,9 +115,15 @@
           guard.noteSound(request);
           endings.finish(request, 'answered');
         },
-        onUnframedEnd: (onJudged) => guard.noteConnectionEnd(request, view.server, onJudged),
+        onUnframedEnd: (onJudged) =>
+          guard.noteConnectionEnd({
+            server,
+            connections,
+            lost: undefined,
+            onJudged: (hasEnded) => onJudged(this.#isTruncated(request, server, hasEnded)),
+          }),
         onFailure: (outcome, detail, isConnectionLost) =>
-          this.#handleFailure(request, outcome, detail, isConnectionLost),
+          this.#handleFailure(request, outcome, detail, isConnectionLost ? connections : undefined),
       }),
     );
     scheduleAttemptTimeout(request, clock, (timeoutMs) =>
@@ -129,19 +139,44 @@
     metrics.record('sent_unread_ms', request.unreadMs);
   }
 
-  /** Retries, refuses or fails a request after an attempt without a complete response. */
+  /** Whether a response without a length that ended with its connection was cut off by the end of its server. */
+  #isTruncated(request: OpenRequest, server: BackendServer, hasEnded: boolean): boolean {
+    const { notices, table } = this.#options;
+    const current = table.viewOf(server.id)?.server;
+    // While the response waited for the caller, the server may have ended and another one started at its address.
+    if (!hasEnded) return request.wasPaused && current?.bornAt !== server.bornAt;
+    // A server that leaves may accept no new connection before its last response has ended.
+    const isLeaving =
+      current === undefined || current.state === 'draining' || notices.registry.isLeaving(current);
+    return !isLeaving || request.wasPaused || request.eventBuffer !== undefined;
+  }
+
+  /**
+   * Retries, refuses or fails a request after an attempt without a complete response.
+   *
+   * @param lostConnections The connections to the server, if the one of the request was lost.
+   */
   #handleFailure(
     request: OpenRequest,
     outcome: AttemptOutcome,
     detail: string,
-    isConnectionLost = false,
+    lostConnections?: ServerConnections,
   ): void {
     const { clock, dispatch, endings, guard, health, log, metrics, retryBudgets } = this.#options;
     const { rooms, table } = this.#options;
     const { view, head, route } = request;
-    let handleJudged = (): void => undefined;
-    if (isConnectionLost && view !== undefined) {
-      guard.noteConnectionEnd(request, view.server, () => handleJudged());
+    let isRetried = false;
+    if (view !== undefined && lostConnections !== undefined) {
+      guard.noteConnectionEnd({
+        server: view.server,
+        connections: lostConnections,
+        lost: describeLost(request, clock.now()),
+        // Not before: the caller's close may have arrived together with the failure, and a request that ends servers is not
+        // sent to another.
+        onJudged: () => {
+          if (isRetried && !request.isFinished) dispatch(request);
+        },
+      });
     }
     clearAwaitingFirstByte(request);
     this.#options.admission.noteAttemptEnded(request);
@@ -171,16 +206,10 @@
       isPastDeadline: clock.now() >= request.deadlineAt,
     });
     const isFree = outcome === 'not-sent';
-    if (step === 'again' && (isFree || retryBudgets.of(request.service.name).tryRetry())) {
-      if (isConnectionLost) {
-        // Not at once: the caller's close may have arrived together with the failure, and a request that ends servers is not
-        // sent to another.
-        handleJudged = () => {
-          if (!request.isFinished) dispatch(request);
-        };
-      } else request.timers.push(clock.schedule(0, () => dispatch(request)));
-    } else {
-      endings.giveUp(request, step === 'again' ? 'retry-budget' : outcome);
+    isRetried = step === 'again' && (isFree || retryBudgets.of(request.service.name).tryRetry());
+    if (!isRetried) endings.giveUp(request, step === 'again' ? 'retry-budget' : outcome);
+    else if (lostConnections === undefined) {
+      request.timers.push(clock.schedule(0, () => dispatch(request)));
     }
   }
 }
--- a/tasks/gateway/_crashGuard.ts
+++ b/tasks/gateway/_crashGuard.ts
@@ -1,13 +1,12 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import { Quarantine, REQUEST_POLICY } from '../../core/quarantine/mod.ts';
 import type { Admission, QuarantinePolicy, Trait } from '../../core/quarantine/mod.ts';
-import type { BackendServer } from '../../core/serving/mod.ts';
 import type { Log } from '../../log/mod.ts';
 import type { Metrics } from '../../metrics/mod.ts';
-import { describeLost, describeServerEnd } from './_describeRequest.ts';
+import { describeServerEnd } from './_describeRequest.ts';
 import type { OpenRequest } from './_openRequest.ts';
 import { ServerEnds } from './_serverEnds.ts';
-import type { LostRequest, ServerEnd } from './_serverEnds.ts';
+import type { ConnectionEnd, LostRequest, ServerEnd } from './_serverEnds.ts';
 
 /** Options of `CrashGuard`. */
 export type CrashGuardOptions = {
@@ -21,10 +20,6 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly openRequests: ReadonlySet<OpenRequest>;
-  /** Whether a connection to the server that was opened before a point in time is still open. */
-  readonly hasOpenSince: (server: BackendServer, time: Milliseconds) => boolean;
-  /** Finds out whether the server accepts connections; `onResult` is called once, later. */
-  readonly probe: (server: BackendServer, onResult: (isListening: boolean) => void) => void;
   /** Called when a server has ended. */
   readonly onServerEnd: (serverId: string) => void;
   /** Called when requests with a trait must no longer be sent. */
@@ -67,8 +62,6 @@
     this.#options = options;
     this.#serverEnds = new ServerEnds({
       clock: options.clock,
-      hasOpenSince: options.hasOpenSince,
-      probe: options.probe,
       onEnd: (end) => this.#handleEnd(end),
     });
     this.quarantine = this.#createQuarantine();
@@ -142,18 +135,9 @@
     this.#noteTrial(this.requestQuarantine, [request.requestTrait()], request);
   }
 
-  /**
-   * Records that the connection of a request ended with its response, complete or not.
-   *
-   * @param onJudged Called once, later, with whether the server has ended.
-   */
-  noteConnectionEnd(
-    request: OpenRequest,
-    server: BackendServer,
-    onJudged: (hasEnded: boolean) => void,
-  ): void {
-    const lost = describeLost(request, this.#options.clock.now());
-    this.#serverEnds.noteConnectionEnd(server, lost, onJudged);
+  /** Records that a connection ended with the response that it carried. */
+  noteConnectionEnd(end: ConnectionEnd): void {
+    this.#serverEnds.noteConnectionEnd(end);
   }
 
   /** Records a response that is complete, or has been written for some time. */
--- a/tasks/gateway/_forwardResponse.ts
+++ b/tasks/gateway/_forwardResponse.ts
@@ -30,9 +30,9 @@
   readonly onComplete: () => void;
   /**
    * Called when a response without framing has ended with its connection. Then either `onComplete` or `onFailure` follows
-   * when `onJudged` is called with whether the server has ended.
+   * when `onJudged` is called with whether its server ended before the response did.
    */
-  readonly onUnframedEnd: (onJudged: (hasEnded: boolean) => void) => void;
+  readonly onUnframedEnd: (onJudged: (isTruncated: boolean) => void) => void;
   /**
    * Called when the attempt yields no complete response; `isConnectionLost` tells that the connection ended
    * after the request had been sent.
@@ -119,10 +119,10 @@
     return isOk && !isFramed && request.route.isStream && !boundary.isBetweenEvents;
   }
 
-  /** Completes a response that ended with its connection, unless its server ended as well. */
-  function completeUnlessEnded(hasServerEnded: boolean): void {
+  /** Completes a response that ended with its connection, unless it is truncated. */
+  function completeUnlessTruncated(isTruncated: boolean): void {
     if (!isCurrent()) return;
-    if (hasServerEnded) onFailure('unknown', 'the server ended with its response', false);
+    if (isTruncated) onFailure('unknown', 'the server ended with its response', false);
     else options.onComplete();
   }
 
@@ -177,7 +177,10 @@
       }
       if (completeEvents.length === 0) return true;
       const canTakeMore = caller.response.write(completeEvents);
-      if (!canTakeMore) caller.response.onDrain(() => request.attempt?.resume());
+      if (!canTakeMore) {
+        request.wasPaused = true;
+        caller.response.onDrain(() => request.attempt?.resume());
+      }
       return canTakeMore;
     },
     end: () => {
@@ -186,7 +189,7 @@
       else if (hasEndedInsideEvent()) {
         onFailure('unknown', 'the stream ended mid-event', true);
       } else if (isFramed) options.onComplete();
-      else options.onUnframedEnd(completeUnlessEnded);
+      else options.onUnframedEnd(completeUnlessTruncated);
     },
     failed: (error, wasSent) => {
       if (!isCurrent()) return;
--- a/tasks/gateway/_openRequest.ts
+++ b/tasks/gateway/_openRequest.ts
@@ -50,6 +50,8 @@
   isResponseFramed: boolean | undefined;
   /** When the first chunk of the current attempt arrived; `undefined` before. */
   writingSince: Milliseconds | undefined;
+  /** Whether the current attempt's response has waited for the caller, so that its end may be known late. */
+  wasPaused: boolean;
   /** Whether the current attempt has been writing long enough to show that it crashes no server. */
   isProvenSound: boolean;
   /** Longest time between two chunks of the response body. */
@@ -149,6 +151,7 @@
     lastChunkAt: 0,
     isResponseFramed: undefined,
     writingSince: undefined,
+    wasPaused: false,
     isProvenSound: false,
     longestPauseMs: 0,
     isAwaitingFirstByte: false,
--- a/tasks/gateway/_serverEnds.test.ts
+++ b/tasks/gateway/_serverEnds.test.ts
@@ -2,8 +2,9 @@
 import { createVirtualClock } from '../../core/clock/mod.ts';
 import type { Milliseconds, VirtualClock } from '../../core/clock/mod.ts';
 import type { BackendServer } from '../../core/serving/mod.ts';
+import type { ProbeResult } from '../../proxy/mod.ts';
 import { ServerEnds } from './_serverEnds.ts';
-import type { LostRequest } from './_serverEnds.ts';
+import type { LostRequest, ServerConnections } from './_serverEnds.ts';
 
 const SERVER: BackendServer = {
   id: 'a',
@@ -34,7 +35,8 @@
   let clock: VirtualClock;
   let ends: ServerEnds;
   let hasOpen: boolean;
-  let isListening: boolean;
+  let probeResult: ProbeResult;
+  let connections: ServerConnections;
   let endedRequests: (readonly string[])[];
   let verdicts: Map<string, boolean>;
 
@@ -43,22 +45,29 @@
     clock.advanceTo(time);
   }
 
-  function noteEnd(requestId: string): void {
-    ends.noteConnectionEnd(SERVER, lost(requestId), (hasEnded) => {
-      verdicts.set(requestId, hasEnded);
+  function noteEnd(requestId: string, isLost = false): void {
+    ends.noteConnectionEnd({
+      server: SERVER,
+      connections,
+      lost: isLost ? lost(requestId) : undefined,
+      onJudged: (hasEnded) => verdicts.set(requestId, hasEnded),
     });
   }
 
   beforeEach(() => {
     clock = createVirtualClock();
     hasOpen = false;
-    isListening = false;
+    probeResult = 'refuses';
     endedRequests = [];
     verdicts = new Map();
+    connections = {
+      hasOpenSince: () => hasOpen,
+      probe: (onResult) => {
+        clock.schedule(5, () => onResult(probeResult));
+      },
+    };
     ends = new ServerEnds({
       clock,
-      hasOpenSince: () => hasOpen,
-      probe: (_, onResult) => clock.schedule(5, () => onResult(isListening)),
       onEnd: ({ requests }) => endedRequests.push(requests.map(({ requestId }) => requestId)),
     });
   });
@@ -72,21 +81,23 @@
   });
 
   it('judges that a server goes on that accepts a new connection', () => {
-    isListening = true;
+    probeResult = 'accepts';
     noteEnd('r1');
     runUntil(40);
     expect([...verdicts]).to.deep.equal([['r1', false]]);
     expect(endedRequests).to.deep.equal([]);
   });
 
-  it('reports the end of a server once, with all that ended with it', () => {
-    noteEnd('r1');
+  it('reports the end of a server once, with the requests that were lost', () => {
+    noteEnd('r1', true);
     runUntil(20);
-    noteEnd('r2');
+    noteEnd('r2', true);
+    noteEnd('r3');
     runUntil(90);
     expect([...verdicts]).to.deep.equal([
       ['r1', true],
       ['r2', true],
+      ['r3', true],
     ]);
     expect(endedRequests).to.deep.equal([['r1', 'r2']]);
   });
@@ -105,4 +116,31 @@
       ['r2', true],
     ]);
   });
+
+  // Guards against a probe whose result was taken for a response that ended just before its server.
+  it('judges a response that ends while the server is probed by a probe of its own', () => {
+    probeResult = 'accepts';
+    noteEnd('r1');
+    runUntil(32);
+    noteEnd('r2');
+    runUntil(36);
+    probeResult = 'refuses';
+    runUntil(90);
+    expect([...verdicts]).to.deep.equal([
+      ['r1', false],
+      ['r2', true],
+    ]);
+  });
+
+  it('takes a server that does not answer for ended only if it lost requests', () => {
+    probeResult = 'unknown';
+    noteEnd('r1');
+    noteEnd('r2', true);
+    runUntil(90);
+    expect([...verdicts]).to.deep.equal([
+      ['r1', false],
+      ['r2', true],
+    ]);
+    expect(endedRequests).to.deep.equal([['r2']]);
+  });
 });
--- a/tasks/gateway/_serverEnds.ts
+++ b/tasks/gateway/_serverEnds.ts
@@ -1,8 +1,9 @@
 import type { Clock, Milliseconds } from '../../core/clock/mod.ts';
 import type { Trait } from '../../core/quarantine/mod.ts';
 import type { BackendServer } from '../../core/serving/mod.ts';
+import type { BackendConnections, ProbeResult } from '../../proxy/mod.ts';
 
-/** A request whose connection to its server has ended. */
+/** A request whose connection to its server was lost. */
 export type LostRequest = {
   readonly requestId: string;
   readonly route: string;
@@ -21,32 +22,52 @@
 /** The end of a server, as one entry saw it. */
 export type ServerEnd = {
   readonly server: BackendServer;
-  /** When the first of its connections was lost. */
+  /** When the first of its connections ended. */
   readonly at: Milliseconds;
   /** The requests that were lost with it. */
   readonly requests: readonly LostRequest[];
 };
 
+/** The connections to one server. */
+export type ServerConnections = Pick<BackendConnections, 'hasOpenSince' | 'probe'>;
+
+/** A connection that ended with the response that it carried. */
+export type ConnectionEnd = {
+  readonly server: BackendServer;
+  readonly connections: ServerConnections;
+  /** The request that was lost with it; `undefined` if the response may be complete. */
+  readonly lost: LostRequest | undefined;
+  /** Called once, later, with whether the server has ended. */
+  readonly onJudged: (hasEnded: boolean) => void;
+};
+
 /** Options of `ServerEnds`. */
 export type ServerEndsOptions = {
   readonly clock: Clock;
-  /** Whether a connection to the server that was opened before a point in time is still open. */
-  readonly hasOpenSince: (server: BackendServer, time: Milliseconds) => boolean;
-  /** Finds out whether the server accepts connections; `onResult` is called once, later. */
-  readonly probe: (server: BackendServer, onResult: (isListening: boolean) => void) => void;
-  /** Called with each end of a server. */
+  /** Called with each end of a server with which requests were lost. */
   readonly onEnd: (end: ServerEnd) => void;
 };
 
 /** Time within which the connections of a server that has ended close. */
 const SETTLE_MS: Milliseconds = 30;
 
-/** A connection that ended with the response that it carried. */
-type ConnectionEnd = {
+type UnjudgedEnd = ConnectionEnd & {
   readonly at: Milliseconds;
-  readonly request: LostRequest;
-  /** Called with whether the server has ended. */
-  readonly onJudged: (hasEnded: boolean) => void;
+  /** Whether the other connections have had time to close. */
+  isDue: boolean;
+};
+
+/** The ends of connections to one server that are not judged yet. */
+type UnjudgedEnds = { ends: readonly UnjudgedEnd[]; isProbing: boolean };
+
+/**
+ * Whether the server of a connection has ended, by what a probe found. A server that does not answer has lost requests,
+ * while a regular end shows that it was there a moment ago.
+ */
+const VERDICTS: Readonly<Record<ProbeResult, (end: ConnectionEnd) => boolean>> = {
+  accepts: () => false,
+  refuses: () => true,
+  unknown: ({ lost }) => lost !== undefined,
 };
 
 /**
@@ -57,53 +78,52 @@
 export class ServerEnds {
   readonly #options: ServerEndsOptions;
 
-  /** Connections that ended lately and are not judged yet, by server id. */
-  readonly #unjudged = new Map<string, ConnectionEnd[]>();
+  readonly #unjudged = new Map<ServerConnections, UnjudgedEnds>();
 
   constructor(options: ServerEndsOptions) {
     this.#options = options;
   }
 
-  /**
-   * Records that a connection ended with the response that it carried, complete or not.
-   *
-   * @param onJudged Called once, later, with whether the server has ended.
-   */
-  noteConnectionEnd(
-    server: BackendServer,
-    request: LostRequest,
-    onJudged: (hasEnded: boolean) => void,
-  ): void {
+  /** Records that a connection ended with the response that it carried. */
+  noteConnectionEnd(connectionEnd: ConnectionEnd): void {
     const { clock } = this.#options;
-    const end: ConnectionEnd = { at: clock.now(), request, onJudged };
-    const unjudged = this.#unjudged.get(server.id);
-    if (unjudged === undefined) this.#unjudged.set(server.id, [end]);
-    else unjudged.push(end);
-    clock.schedule(SETTLE_MS, () => this.#settle(server, end));
+    const { connections } = connectionEnd;
+    const end: UnjudgedEnd = { ...connectionEnd, at: clock.now(), isDue: false };
+    const unjudged = this.#unjudged.get(connections) ?? { ends: [], isProbing: false };
+    unjudged.ends = [...unjudged.ends, end];
+    this.#unjudged.set(connections, unjudged);
+    clock.schedule(SETTLE_MS, () => this.#settle(end, unjudged));
   }
 
-  /** Judges a connection end by itself if others are open, else together with all later ones. */
-  #settle(server: BackendServer, end: ConnectionEnd): void {
-    const { hasOpenSince, probe } = this.#options;
-    const unjudged = this.#unjudged.get(server.id) ?? [];
-    if (!unjudged.includes(end)) return;
-    if (hasOpenSince(server, end.at)) {
-      const rest = unjudged.filter((each) => each !== end);
-      if (rest.length > 0) this.#unjudged.set(server.id, rest);
-      else this.#unjudged.delete(server.id);
-      end.onJudged(false);
+  #settle(end: UnjudgedEnd, unjudged: UnjudgedEnds): void {
+    end.isDue = true;
+    if (!unjudged.ends.includes(end)) return;
+    if (end.connections.hasOpenSince(end.at)) {
+      this.#judge(unjudged, [end], () => false);
       return;
     }
-    this.#unjudged.delete(server.id);
-    probe(server, (isListening) => this.#judge(server, unjudged, !isListening));
+    // The result of a probe in progress is also that of this end.
+    if (unjudged.isProbing) return;
+    unjudged.isProbing = true;
+    end.connections.probe((result) => {
+      unjudged.isProbing = false;
+      const judged = unjudged.ends.filter(({ isDue }) => isDue || result === 'refuses');
+      this.#judge(unjudged, judged, VERDICTS[result]);
+    });
   }
 
-  #judge(server: BackendServer, ends: readonly ConnectionEnd[], hasEnded: boolean): void {
-    const [first] = ends;
-    if (hasEnded && first !== undefined) {
-      const requests = ends.map(({ request }) => request);
-      this.#options.onEnd({ server, at: first.at, requests });
-    }
-    ends.forEach(({ onJudged }) => onJudged(hasEnded));
+  #judge(
+    unjudged: UnjudgedEnds,
+    judged: readonly UnjudgedEnd[],
+    hasEnded: (end: ConnectionEnd) => boolean,
+  ): void {
+    unjudged.ends = unjudged.ends.filter((end) => !judged.includes(end));
+    const [first] = judged;
+    if (first === undefined) return;
+    if (unjudged.ends.length === 0) this.#unjudged.delete(first.connections);
+    const { server, at } = first;
+    const requests = judged.filter(hasEnded).flatMap(({ lost }) => lost ?? []);
+    if (requests.length > 0) this.#options.onEnd({ server, at, requests });
+    judged.forEach((end) => end.onJudged(hasEnded(end)));
   }
 }
--- a/tasks/gateway/gateway.ts
+++ b/tasks/gateway/gateway.ts
@@ -194,9 +194,9 @@
     this.#guard = new CrashGuard({
       ...common,
       openRequests: this.#openRequests,
-      hasOpenSince: (server, time) => this.#table.connectionsOf(server).hasOpenSince(time),
-      probe: (server, onResult) => this.#table.connectionsOf(server).probe(onResult),
-      onServerEnd: (id) => this.#health.noteUnreachable(id),
+      onServerEnd: (id) => {
+        if (this.#table.has(id)) this.#health.noteUnreachable(id);
+      },
       onQuarantined: (trait) => this.#gate.rejectAll(trait, this.#openRequests),
     });
     this.#adapterWaits = new AdapterWaits({
