Connect to a server that starts again at its new address

An entry kept the connection pool of a server's first address when its record was renewed under the same id with another one: each request was refused (ECONNREFUSED, 503) until the record was removed or the entry restarted.

--- a/programs/serving/serverEnd.test.ts
+++ b/programs/serving/serverEnd.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { BackendServerStandin } from '../../platform/testing/mod.ts';
 import { startEntryFleet } from './testing/entryFleet.ts';
 import type { EntryFleet } from './testing/entryFleet.ts';
 import type { LogLine } from './testing/servingWorld.ts';
@@ -51,4 +52,18 @@
       'crash',
     ]);
   });
+
+  it('starts again at another address is called there', async () => {
+    const [entry] = fleet.entries;
+    await entry!.call({ id: 'before', path: '/book/before' });
+    const restarted = new BackendServerStandin({ id: 'i-app-0' });
+    await restarted.listen();
+    await fleet.servers[0]!.close();
+    fleet.store.putServer('i-app-0', restarted.record('app', 'ready', 2000));
+    while (restarted.received.length === 0) {
+      await entry!.call({ id: 'after', path: '/book/after' });
+      await sleep(20);
+    }
+    await restarted.close();
+  });
 });
--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -106,6 +106,11 @@
     };
   }
 
+  /** IP address and port of the server. */
+  get address(): string {
+    return this.#options.address;
+  }
+
   /** Sends a request. */
   send(request: BackendRequest, events: ResponseEvents): RequestHandle {
     const { connectTimeoutMs, socketReads } = this.#options;
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -195,16 +195,13 @@
     this.#sendUse(view, name, view.noteEnded(name));
   }
 
-  /** Returns the connection pool of a server. */
-  connectionsOf(server: BackendServer): BackendConnections {
-    let connections = this.#connections.get(server.id);
-    if (connections === undefined) {
-      connections = new BackendConnections({
-        address: server.address,
-        ...(this.#options.socketReads && { socketReads: this.#options.socketReads }),
-      });
-      this.#connections.set(server.id, connections);
-    }
+  /** Returns the connection pool of a server; that of a former address is a new one without connections. */
+  connectionsOf({ id, address }: BackendServer): BackendConnections {
+    const known = this.#connections.get(id);
+    if (known?.address === address) return known;
+    const { socketReads } = this.#options;
+    const connections = new BackendConnections({ address, ...(socketReads && { socketReads }) });
+    if (this.#views.get(id)?.server.address === address) this.#connections.set(id, connections);
     return connections;
   }
 
