Soak entries and servers that end in every way

Two built entries and four truncating servers, all processes of their own; twelve callers of HTTP/1.1 and 1.0 over plain sockets use the three kinds of routes. By a seed, servers close, reset, are killed or exit with an error after an event, or are stalled, killed or stopped from outside and start again at another address; entries are killed, stopped or throttled.

Checks: no truncated response looks complete; each body is a prefix of the full stream; each call is served whole while servers and entries are left alone, before and after each storm. Exempt from the first check are HTTP/1.0 callers of an entry killed with SIGKILL: a close is all that delimits their responses. They are counted apart.

--- a/programs/serving/truncatedAnswers.test.ts
+++ b/programs/serving/truncatedAnswers.test.ts
@@ -10,7 +10,6 @@
   EVENT_COUNT,
   EVENT_COUNT_HEADER,
   EVENT_INTERVAL_HEADER,
-  sampleDeployment,
   startTruncatingServer,
   StoreStandin,
 } from '../../platform/testing/mod.ts';
@@ -22,6 +21,7 @@
 import { callGateway } from './testing/servingWorld.ts';
 import { pickLoopbackAddress, startServingProgram } from './testing/servingProgram.ts';
 import type { ServingProgram } from './testing/servingProgram.ts';
+import { PATHS, unframedDeployment, UPLOAD } from './testing/unframedDeployment.ts';
 
 const CALLS = 20;
 
@@ -38,28 +38,9 @@
 /** High enough for each request to be retried. */
 const RETRY_SHARE = 2;
 
-const UPLOAD = Buffer.alloc(4_000_000, 'x');
-
 /** Share of a processor of a slow entry. */
 const SLOW = { runMs: 10, periodMs: 50 };
 
-/** Paths of the routes, by the kind of response that they serve. */
-const PATHS = { stream: '/tale/', resumable: '/long/', plain: '/book/' } as const;
-
-function deployment(): unknown {
-  const sample = sampleDeployment() as {
-    readonly routes: readonly Readonly<Record<string, unknown>>[];
-    readonly limits: Readonly<Record<string, unknown>>;
-  };
-  const resumable = sample.routes.find(({ name }) => name === 'r4');
-  const stream = { ...resumable, name: 'r5', 'path-prefix': PATHS.stream, resumable: false };
-  return {
-    ...sample,
-    routes: [...sample.routes, stream],
-    limits: { ...sample.limits, 'max-body-bytes': UPLOAD.length },
-  };
-}
-
 describe('a built entry with servers whose responses have no length', () => {
   let directory: string;
 
@@ -130,7 +111,7 @@
   beforeEach(async () => {
     store = new StoreStandin();
     servers = await Promise.all([startTruncatingServer(), startTruncatingServer()]);
-    store.putDeployment(deployment());
+    store.putDeployment(unframedDeployment());
     servers.forEach((server, index) => store.putServer(`i-${index}`, server.record('app')));
     const storeAddress = await store.listen();
     program = await startServingProgram({
