Take the result of a probe only for responses that were due when it began

Suspected cause: that a server accepted a connection was taken for each response that had ended by the time of the result, also for those that ended just before it. Responses that become due while a probe is in progress now cause another.

--- a/tasks/gateway/_serverEnds.ts
+++ b/tasks/gateway/_serverEnds.ts
@@ -102,13 +102,16 @@
       this.#judge(unjudged, [end], () => false);
       return;
     }
-    // The result of a probe in progress is also that of this end.
+    // Settled once the probe in progress has its result.
     if (unjudged.isProbing) return;
     unjudged.isProbing = true;
+    const due = unjudged.ends.filter(({ isDue }) => isDue);
     end.connections.probe((result) => {
       unjudged.isProbing = false;
-      const judged = unjudged.ends.filter(({ isDue }) => isDue || result === 'refuses');
-      this.#judge(unjudged, judged, VERDICTS[result]);
+      // That a server accepted a connection tells nothing of those that ended just before it.
+      this.#judge(unjudged, result === 'refuses' ? unjudged.ends : due, VERDICTS[result]);
+      const next = unjudged.ends.find(({ isDue }) => isDue);
+      if (next !== undefined) this.#settle(next, unjudged);
     });
   }
 
