Log the new address of a server that starts again

Nothing in the log told when an entry had learned that a server's record names another address. HS8004 now says `moved`.

The soak's fleet counts as recovered once each entry has logged the address of each server.

--- a/log/catalogue.ts
+++ b/log/catalogue.ts
@@ -219,7 +219,7 @@
   serverChanged: {
     number: 'HS8004',
     level: 'info',
-    message: 'A backend server was listed, is leaving or was removed',
+    message: 'A backend server was listed, has another address, is leaving or was removed',
     remedy: 'None needed',
   },
   recordUnreadable: {
--- a/programs/serving/testing/restartingFleet.ts
+++ b/programs/serving/testing/restartingFleet.ts
@@ -62,6 +62,9 @@
   async function recovered(): Promise<void> {
     while (running.size < serverCount) await sleep(20);
     await Promise.all(entries.map(ready));
+    const isKnown = ({ address }: TruncatingServer): boolean =>
+      entries.every(({ output }) => output().includes(`"address":"${address}"`));
+    while (!servers.every(isKnown)) await sleep(20);
   }
 
   store.putDeployment(unframedDeployment());
--- a/tasks/gateway/_serverTable.ts
+++ b/tasks/gateway/_serverTable.ts
@@ -219,7 +219,9 @@
     const view = this.#views.get(server.id);
     if (view === undefined) return;
     const hasRestarted = server.bornAt > view.server.bornAt;
+    const hasMoved = server.address !== view.server.address;
     view.server = server;
+    if (hasMoved) this.#logChange(server, 'moved');
     if (hasRestarted) this.#options.onServerRestarted(server.id);
   }
 
@@ -267,14 +269,18 @@
     });
   }
 
-  #applyChange(change: FleetChange): void {
-    const { server } = change;
+  #logChange(server: BackendServer, change: FleetChange['kind'] | 'moved'): void {
     this.#options.log('serverChanged', {
       server: server.id,
-      change: change.kind,
+      change,
       service: server.service,
       address: server.address,
     });
+  }
+
+  #applyChange(change: FleetChange): void {
+    const { server } = change;
+    this.#logChange(server, change.kind);
     const handlers: Readonly<Record<FleetChange['kind'], () => void>> = {
       listed: () => {
         this.#views.set(
