Take a server without a record for one that leaves only if it said so

A response without a length whose server refused connections was completed if the server's record was gone. A record that is removed when its server is killed would have let a truncated response look complete. Found by reading, no run showed it. The last known record and notice of the server now decide.

--- a/proxy/backendConnections.ts
+++ b/proxy/backendConnections.ts
@@ -70,7 +70,7 @@
   },
 };
 
-/** Error code of a reset. */
+/** Error code of a reset by which undici fails a response. */
 const RESET_CODE = 'UND_ERR_SOCKET';
 
 /** Whether neither end has closed a socket; the client reports that turns of the event loop later. */
@@ -211,13 +211,12 @@
   /** Has a new socket used, which its request may be written to at once. */
   #adopt(connection: Connection, socket: Socket, callback: buildConnector.Callback): void {
     connection.socket = socket;
-    // Before undici, which asserts at the end of a connection that the body is not paused.
+    // Before undici, which takes a response without a length as complete at the code of a reset.
     socket.prependOnceListener('error', (error: NodeJS.ErrnoException) => {
       connection.socketState.wasReset = true;
-      // undici takes a response without a length as complete at this code; any other fails it.
       if (error.code === 'ECONNRESET') error.code = RESET_CODE;
     });
-    // Before undici, which completes a response without a length at this event.
+    // Before undici, which completes a response without a length at this event and asserts that its body is not paused.
     socket.prependOnceListener('end', () => {
       // Completes a response with a length, which a reset after it leaves whole.
       connection.onSocketEnd();
--- a/tasks/gateway/_attempts.ts
+++ b/tasks/gateway/_attempts.ts
@@ -146,8 +146,8 @@
     // While the response waited for the caller, the server may have ended and another one started at its address.
     if (!hasEnded) return request.wasPaused && current?.bornAt !== server.bornAt;
     // A server that leaves may accept no new connection before its last response has ended.
-    const isLeaving =
-      current === undefined || current.state === 'draining' || notices.registry.isLeaving(current);
+    const latest = current ?? server;
+    const isLeaving = latest.state === 'draining' || notices.registry.isLeaving(latest);
     return !isLeaving || request.wasPaused || request.eventBuffer !== undefined;
   }
 
