--- a/programs/serving/truncationSoak.test.ts
+++ b/programs/serving/truncationSoak.test.ts
@@ -21,7 +21,13 @@
 import type { RestartingFleet } from './testing/restartingFleet.ts';
 import { PATHS, UPLOAD } from './testing/unframedDeployment.ts';
 
-const SEEDS = Array.from({ length: Number(process.env.SOAK_SEEDS ?? 2) }, (_, index) => index + 1);
+/** Seeds of a short run; the last one has found a fault that is not fixed. */
+const SHORT_SEEDS = [1, 2, 29];
+
+const SEEDS =
+  process.env.SOAK_SEEDS === undefined
+    ? SHORT_SEEDS
+    : Array.from({ length: Number(process.env.SOAK_SEEDS) }, (_, index) => index + 1);
 
 /** Storms of a seed, each with a calm phase after it. */
 const STORMS = 2;
